--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,51 @@
+//! What the platform tells the daemon at its start.
+
+use crate::limits::Limits;
+use crate::membership::{known, Members};
+use serde_json::Value;
+use slipfront::interface::Settings;
+use slipfront::settings::{object, part, settings, word, Res};
+use std::net::SocketAddr;
+
+/// The environment variable that names the configuration file.
+const FILE: &str = "NODE_CONFIG";
+
+/// The configuration, checked.
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub names: SocketAddr,
+    pub known: (u32, Members),
+    pub settings: Settings,
+    pub limits: Limits,
+}
+
+impl Config {
+    /// Reads the file that the environment names.
+    pub fn from_env() -> Res<Self> {
+        let path = std::env::var(FILE).map_err(|e| format!("{FILE}: {e}"))?;
+        let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+        let value = serde_json::from_slice(&text).map_err(|e| format!("{path}: not JSON: {e}"))?;
+        Self::read(&value).map_err(|e| format!("{path}: {e}"))
+    }
+
+    fn read(value: &Value) -> Res<Self> {
+        let map = object(value, "the configuration")?;
+        let address = |key: &str| -> Res<SocketAddr> {
+            let text = word(map, key, "")?;
+            text.parse().map_err(|e| format!("{key} {text:?}: {e}"))
+        };
+        let seed = word(map, "seed", "0")?;
+        let none = serde_json::Map::new();
+        Ok(Self {
+            name: word(map, "name", "node")?.into(),
+            listen: address("listen")?,
+            seed: u64::from_str_radix(seed, 16).map_err(|e| format!("seed {seed:?}: {e}"))?,
+            names: address("names")?,
+            known: known::read(map)?,
+            settings: settings(part(map, "settings", &none)?)?,
+            limits: Limits::from_config(value)?,
+        })
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,394 @@
+//! Requests, attempts and outcomes. The core carries out what the decision module asks for and sees to it
+//! that every request gets one final answer and every attempt one end. It knows no wire: fronts bring
+//! requests and take answers, links run attempts.
+
+mod counters;
+
+pub use counters::Counters;
+
+use crate::net::{Time, Timers};
+use slipfront::choice::Gateway;
+use slipfront::interface::*;
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+/// What an engine is to run, as the front took it and the link sends it; opaque here.
+#[derive(Clone, Debug, Default)]
+pub struct Work {
+    pub class: Arc<str>,
+    pub statement: Arc<[u8]>,
+    /// The client's idempotency key.
+    pub key: Option<Arc<str>>,
+}
+
+/// A request that a front has taken.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Which door it came in by.
+    pub door: usize,
+    pub id: RequestId,
+    /// Position of its class in the settings.
+    pub class: usize,
+    /// When the client gives up.
+    pub deadline: Time,
+    /// Estimated work (ms of one thread).
+    pub estimate: Option<f64>,
+    /// Estimated memory (MB).
+    pub memory: Option<f64>,
+    /// Group of tables that it reads or writes.
+    pub tables: i64,
+    pub work: Work,
+}
+
+/// A result's parts in order, as the link received them.
+pub type Parts = Vec<Vec<u8>>;
+
+/// The one final answer.
+#[derive(Debug)]
+pub enum Answer {
+    Served(Parts),
+    /// Not served; trying again is harmless, after so many seconds.
+    Refused(Option<f64>),
+    /// Not served; it may have run.
+    Failed,
+}
+
+/// An attempt that a link is to run.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub id: RequestId,
+    pub attempt: u32,
+    pub engine: EngineId,
+    /// When the coordinator stops waiting.
+    pub deadline: Time,
+    /// Memory granted (MB).
+    pub memory: Option<f64>,
+    /// Priority, 0 to 3.
+    pub rank: u8,
+    pub work: Work,
+}
+
+/// How a link saw an attempt end.
+#[derive(Debug)]
+pub enum Ending {
+    Served(Parts),
+    /// The engine said that it failed.
+    Error,
+    /// The engine turned it away unseen.
+    Full,
+    /// No byte of it reached the engine.
+    NotSent,
+    /// The connection broke after a byte of it went out.
+    Broken,
+    /// The engine says that it was over already and never ran.
+    Moot,
+}
+
+/// What fronts tell the core.
+#[derive(Debug)]
+pub enum Wish {
+    Ask(Ask),
+    /// The client has gone; no answer is owed.
+    Left(RequestId),
+}
+
+/// What links tell the core.
+#[derive(Debug)]
+pub enum News {
+    Ended { id: RequestId, attempt: u32, ending: Ending, report: Option<Report> },
+    Noted { id: RequestId, attempt: u32, note: Note },
+}
+
+/// Where requests come from.
+pub trait Front {
+    /// Gives a request its final answer. One whose client has gone is passed over.
+    fn answer(&mut self, now: Time, id: &RequestId, answer: Answer);
+}
+
+/// Where attempts run.
+pub trait Link {
+    /// Starts an attempt. Its end comes as news, once, unless it is dropped.
+    fn start(&mut self, now: Time, call: Call);
+    /// Gives an attempt up; no more news of it comes. True if no byte of it has gone out.
+    fn drop_call(&mut self, now: Time, id: &RequestId, attempt: u32) -> bool;
+    /// Changes the priority of an attempt that is out.
+    fn rank(&mut self, now: Time, id: &RequestId, attempt: u32, rank: u8);
+}
+
+/// A front and the link that runs what comes in there.
+pub struct Door<'a> {
+    pub front: &'a mut dyn Front,
+    pub link: &'a mut dyn Link,
+}
+
+struct Attempt {
+    out: bool,
+    rank: u8,
+}
+
+struct Request {
+    door: usize,
+    work: Work,
+    deadline: Time,
+    memory: Option<f64>,
+    rank: u8,
+    attempts: Vec<Attempt>,
+    /// The final answer is given, or none is owed any more.
+    over: bool,
+}
+
+enum Alarm {
+    Module(u64),
+    Attempt(RequestId, u32),
+}
+
+/// Everything between the fronts, the links and the decision module.
+pub struct Core {
+    gateway: Gateway,
+    requests: HashMap<RequestId, Request>,
+    open: usize,
+    timers: Timers<Alarm>,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    pub counters: Counters,
+}
+
+impl Core {
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Self {
+            gateway: Gateway::new(settings, seed),
+            requests: HashMap::new(),
+            open: 0,
+            timers: Timers::default(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            counters: Counters::default(),
+        }
+    }
+
+    /// When the core next has something to do by itself.
+    pub fn next(&self) -> Option<Time> {
+        self.timers.next()
+    }
+
+    /// Requests that are owed an answer.
+    pub fn open(&self) -> usize {
+        self.open
+    }
+
+    pub fn engines(&mut self, now: Time, scope: Scope, entries: Vec<EngineEntry>, doors: &mut [Door]) {
+        self.feed(now, Event::Engines(scope, entries), doors);
+    }
+
+    /// Takes what a front brings.
+    pub fn wish(&mut self, now: Time, wish: Wish, doors: &mut [Door]) {
+        match wish {
+            Wish::Ask(ask) => self.ask(now, ask, doors),
+            Wish::Left(id) => {
+                let Some(request) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
+                request.over = true;
+                self.open -= 1;
+                self.counters.withdrawn += 1;
+                self.feed(now, Event::ClientLeft { id: id.clone() }, doors);
+                self.forget(&id);
+            }
+        }
+    }
+
+    fn ask(&mut self, now: Time, ask: Ask, doors: &mut [Door]) {
+        self.counters.taken += 1;
+        // The module keeps requests by id, and engines are sent the client's id as it is.
+        if self.requests.contains_key(&ask.id) {
+            self.counters.failed += 1;
+            return doors[ask.door].front.answer(now, &ask.id, Answer::Failed);
+        }
+        let request = Request {
+            door: ask.door,
+            work: ask.work,
+            deadline: ask.deadline,
+            memory: None,
+            rank: 1,
+            attempts: Vec::new(),
+            over: false,
+        };
+        self.requests.insert(ask.id.clone(), request);
+        self.open += 1;
+        let query = Query {
+            id: ask.id,
+            class: ask.class,
+            tenant: None,
+            key: None,
+            left: ask.deadline - now,
+            work: ask.estimate,
+            memory: ask.memory,
+            tables: ask.tables,
+        };
+        self.feed(now, Event::Query(query), doors);
+    }
+
+    /// Takes what a link tells.
+    pub fn news(&mut self, now: Time, news: News, doors: &mut [Door]) {
+        match news {
+            News::Ended { id, attempt, ending, report } => {
+                let (outcome, parts) = match ending {
+                    Ending::Served(parts) => (Outcome::Ok, Some(parts)),
+                    Ending::Error => (Outcome::Error, None),
+                    Ending::Full => (Outcome::Full, None),
+                    Ending::NotSent => (Outcome::Unreachable, None),
+                    Ending::Broken => (Outcome::Reset, None),
+                    Ending::Moot => (Outcome::Moot, None),
+                };
+                if !self.end(&id, attempt) {
+                    return;
+                }
+                if let Some(parts) = parts {
+                    self.answer(now, &id, Answer::Served(parts), doors);
+                }
+                self.ended(now, id, attempt, outcome, report, doors);
+            }
+            News::Noted { id, attempt, note } => {
+                if self.is_out(&id, attempt) {
+                    self.counters.notes += 1;
+                    self.feed(now, Event::Noted { id, attempt, note }, doors);
+                }
+            }
+        }
+    }
+
+    /// Whatever has come due.
+    pub fn alarm(&mut self, now: Time, doors: &mut [Door]) {
+        while let Some(alarm) = self.timers.due(now) {
+            match alarm {
+                Alarm::Module(token) => self.feed(now, Event::Timer(token), doors),
+                Alarm::Attempt(id, attempt) => {
+                    if self.end(&id, attempt) {
+                        let unsent = doors[self.door(&id)].link.drop_call(now, &id, attempt);
+                        let outcome = if unsent { Outcome::Unreachable } else { Outcome::Timeout };
+                        self.ended(now, id, attempt, outcome, None, doors);
+                    }
+                }
+            }
+        }
+    }
+
+    fn door(&self, id: &RequestId) -> usize {
+        self.requests.get(id).map_or(0, |r| r.door)
+    }
+
+    fn is_out(&self, id: &RequestId, attempt: u32) -> bool {
+        self.requests.get(id).and_then(|r| r.attempts.get(attempt as usize)).is_some_and(|a| a.out)
+    }
+
+    /// Marks an attempt as ended. False if it was not out: whatever came second is passed over.
+    fn end(&mut self, id: &RequestId, attempt: u32) -> bool {
+        let request = self.requests.get_mut(id);
+        let attempt = request.and_then(|r| r.attempts.get_mut(attempt as usize));
+        attempt.is_some_and(|a| std::mem::replace(&mut a.out, false))
+    }
+
+    /// Tells the module of an attempt's one end.
+    fn ended(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        attempt: u32,
+        outcome: Outcome,
+        report: Option<Report>,
+        doors: &mut [Door],
+    ) {
+        let event = self.end_event(id.clone(), attempt, outcome, report);
+        self.feed(now, event, doors);
+        self.forget(&id);
+    }
+
+    fn end_event(&mut self, id: RequestId, attempt: u32, outcome: Outcome, report: Option<Report>) -> Event {
+        self.counters.ended(outcome);
+        let finished = self.requests.get(&id).is_none_or(|r| r.over);
+        Event::Ended(Ended { id, attempt, outcome, finished, work: None, memory: None, report })
+    }
+
+    /// Gives the final answer, unless there was one.
+    fn answer(&mut self, now: Time, id: &RequestId, answer: Answer, doors: &mut [Door]) {
+        let Some(request) = self.requests.get_mut(id).filter(|r| !r.over) else { return };
+        request.over = true;
+        self.open -= 1;
+        match answer {
+            Answer::Served(_) => self.counters.served += 1,
+            Answer::Refused(_) => self.counters.refused += 1,
+            Answer::Failed => self.counters.failed += 1,
+        }
+        doors[request.door].front.answer(now, id, answer);
+    }
+
+    /// Forgets a request that is over once its last attempt has ended.
+    fn forget(&mut self, id: &RequestId) {
+        if self.requests.get(id).is_some_and(|r| r.over && r.attempts.iter().all(|a| !a.out)) {
+            self.requests.remove(id);
+        }
+    }
+
+    /// Hands the module one event and carries out all that it leads to.
+    fn feed(&mut self, now: Time, event: Event, doors: &mut [Door]) {
+        self.events.push_back(event);
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.gateway.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action, doors);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, now: Time, action: Action, doors: &mut [Door]) {
+        match action {
+            Action::Send { id, engine, timeout } => self.send(now, id, engine, timeout, doors),
+            Action::Cancel { id, attempt } => {
+                if self.end(&id, attempt) {
+                    doors[self.door(&id)].link.drop_call(now, &id, attempt);
+                    let event = self.end_event(id.clone(), attempt, Outcome::Cancelled, None);
+                    self.events.push_back(event);
+                    self.forget(&id);
+                }
+            }
+            Action::Refuse { id, come_back } => {
+                self.answer(now, &id, Answer::Refused(come_back), doors);
+                self.forget(&id);
+            }
+            Action::Fail { id } => {
+                self.answer(now, &id, Answer::Failed, doors);
+                self.forget(&id);
+            }
+            Action::Terms { id, memory, rank } => {
+                let Some(request) = self.requests.get_mut(&id) else { return };
+                (request.memory, request.rank) = (memory, rank);
+                let link = &mut doors[request.door].link;
+                let out = request.attempts.iter_mut().enumerate().filter(|(_, a)| a.out && a.rank != rank);
+                for (at, attempt) in out {
+                    attempt.rank = rank;
+                    link.rank(now, &id, at as u32, rank);
+                }
+            }
+            Action::SetTimer { after, token } => self.timers.set(now + after, Alarm::Module(token)),
+            Action::Subscribe => {} // the directory is polled anyway
+            Action::Log(line) => println!("{now:.3} {line}"),
+        }
+    }
+
+    fn send(&mut self, now: Time, id: RequestId, engine: EngineId, timeout: Option<f64>, doors: &mut [Door]) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let attempt = request.attempts.len() as u32;
+        let rank = request.rank;
+        if request.over {
+            request.attempts.push(Attempt { out: false, rank });
+            let event = self.end_event(id, attempt, Outcome::Moot, None);
+            return self.events.push_back(event);
+        }
+        let deadline = timeout.map_or(request.deadline, |t| request.deadline.min(now + t));
+        request.attempts.push(Attempt { out: true, rank });
+        let (door, memory, work) = (request.door, request.memory, request.work.clone());
+        self.counters.sends += 1;
+        self.timers.set(deadline, Alarm::Attempt(id.clone(), attempt));
+        doors[door].link.start(now, Call { id, attempt, engine, deadline, memory, rank, work });
+    }
+}
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,3 @@
+//! Where requests come from. A front decodes requests and encodes answers; it decides nothing.
+
+pub mod platform;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -159,7 +159,7 @@
 }
 
 /// One engine in the list.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineEntry {
     /// Identity.
     pub id: EngineId,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,3 +70,4 @@
 
 pub mod choice;
 pub mod interface;
+pub mod settings;
--- /dev/null
+++ b/src/limits.rs
@@ -0,0 +1,93 @@
+//! Every size, count and time that bounds the daemon, filled once at start and handed down.
+
+use serde_json::Value;
+use slipfront::settings::{num, object, part, Res};
+
+/// Sizes are bytes, times are seconds.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Client connections held at once; further ones wait in the kernel's line.
+    pub clients: usize,
+    /// Request line and headers of one call.
+    pub head: usize,
+    /// Header fields of one call.
+    pub fields: usize,
+    /// Body of one call.
+    pub body: usize,
+    /// A client connection without an open request is closed after this.
+    pub client_idle: f64,
+    /// A refused connection that is being closed gets this long to read its answer.
+    pub linger: f64,
+    /// Answer bytes that one client may leave unread.
+    pub unread: usize,
+    /// Rows of one result.
+    pub result: usize,
+    /// Rows of one page.
+    pub page: usize,
+    /// Pages of one result: full ones are eight.
+    pub pages: usize,
+    /// One answer of an engine as it is framed.
+    pub frame: usize,
+    /// Bytes that one engine's connection may leave unwritten; beyond it nothing more is queued.
+    pub unwritten: usize,
+    /// Attempts on one engine connection.
+    pub streams: usize,
+    /// Connections to one engine.
+    pub pool: usize,
+    /// An engine connection that is not up by then counts as refused.
+    pub connect: f64,
+    /// An engine connection without attempts is closed after this, before the engine does.
+    pub engine_idle: f64,
+    /// A call that was dropped bars its id from its connection for so long: a late answer must not be taken
+    /// for one to the next attempt.
+    pub echo: f64,
+    /// From being told that an engine drains until nothing may begin to go there.
+    pub drain_grace: f64,
+    /// Pause between two queries to the directory.
+    pub poll: f64,
+    /// An answer of the directory.
+    pub datagram: usize,
+    /// From SIGTERM until no new connection is taken.
+    pub farewell: f64,
+}
+
+/// Share of the descriptors that clients may hold.
+const CLIENT_SHARE: f64 = 0.5;
+/// Share of the engines' idle limit after which the daemon closes first: a send must not cross their close.
+const IDLE_SHARE: f64 = 0.8;
+/// Taken off the drain grace for a slow turn of the loop.
+const GRACE_MARGIN: f64 = 0.1;
+
+impl Limits {
+    /// From the platform's configuration; what it does not name has a value here.
+    pub fn from_config(config: &Value) -> Res<Self> {
+        let config = object(config, "the configuration")?;
+        let none = serde_json::Map::new();
+        let settings = part(config, "settings", &none)?;
+        let (held, rules) = (part(settings, "limits", &none)?, part(settings, "rules", &none)?);
+        let sockets = num(part(config, "limits", &none)?, "sockets", 1024.0)?;
+        Ok(Self {
+            clients: (sockets * CLIENT_SHARE) as usize,
+            head: 16 << 10,
+            fields: 100,
+            body: 128 << 10,
+            client_idle: 60.0,
+            linger: 1.0,
+            unread: 256 << 10,
+            result: 48_000,
+            page: 6_000,
+            pages: 64,
+            frame: 16 << 10,
+            unwritten: 1 << 20,
+            streams: num(held, "streamsPerConn", 100.0)?.max(1.0) as usize,
+            pool: 16,
+            connect: num(held, "connectTimeout", 0.25)?,
+            engine_idle: num(held, "connIdle", 15.0)? * IDLE_SHARE,
+            echo: 30.0,
+            drain_grace: (num(rules, "drainGrace", 1.0)? - GRACE_MARGIN).max(0.0),
+            poll: 0.2,
+            datagram: 8_192,
+            farewell: 1.0,
+        })
+    }
+}
--- /dev/null
+++ b/src/link/resp/frame.rs
@@ -0,0 +1,160 @@
+//! RESP arrays of bulk strings, and the commands and answers that are worded in them.
+
+use crate::limits::Limits;
+use slipfront::interface::{Note, Report};
+
+/// The bytes are no answer.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Malformed;
+
+/// What an answer says.
+#[derive(Debug, PartialEq)]
+pub enum Word {
+    Data {
+        total: usize,
+    },
+    Full,
+    Failed,
+    Moot,
+    News(Option<Note>),
+    Page {
+        index: usize,
+    },
+    /// The answer to a probe.
+    Health,
+}
+
+/// One answer of an engine.
+#[derive(Debug)]
+pub struct Reply {
+    pub id: String,
+    pub word: Word,
+    pub report: Option<Report>,
+    pub body: Vec<u8>,
+}
+
+/// Values in an answer: its id, its word, its fields, its body.
+const VALUES: usize = 4;
+/// Bytes of a length line; longer ones are no lengths.
+const LENGTH: usize = 16;
+
+/// A command, encoded.
+pub fn command(values: &[&[u8]]) -> Vec<u8> {
+    let mut out = format!("*{}\r\n", values.len()).into_bytes();
+    for value in values {
+        out.extend_from_slice(format!("${}\r\n", value.len()).as_bytes());
+        out.extend_from_slice(value);
+        out.extend_from_slice(b"\r\n");
+    }
+    out
+}
+
+/// The answer at the start of the input and the bytes it took, once all of it is here.
+pub fn read(input: &[u8], limits: &Limits) -> Result<Option<(Reply, usize)>, Malformed> {
+    let Some((count, mut at)) = line(input, 0, b'*')? else { return Ok(None) };
+    if count != VALUES {
+        return Err(Malformed);
+    }
+    let mut values = [&input[..0]; VALUES];
+    for value in &mut values {
+        let Some((length, start)) = line(input, at, b'$')? else { return Ok(None) };
+        if length > limits.frame {
+            return Err(Malformed);
+        }
+        let end = start + length;
+        match input.get(end..end + 2) {
+            Some(b"\r\n") => {}
+            Some(_) => return Err(Malformed),
+            None => return Ok(None),
+        }
+        *value = &input[start..end];
+        at = end + 2;
+    }
+    Ok(Some((reply(values)?, at)))
+}
+
+/// A line of a mark and a number at `at`: the number, and where the next line starts.
+fn line(input: &[u8], at: usize, mark: u8) -> Result<Option<(usize, usize)>, Malformed> {
+    let rest = &input[at.min(input.len())..];
+    let Some(first) = rest.first() else { return Ok(None) };
+    if *first != mark {
+        return Err(Malformed);
+    }
+    let window = &rest[..rest.len().min(LENGTH)];
+    let Some(end) = window.windows(2).position(|w| w == b"\r\n") else {
+        return if rest.len() >= LENGTH { Err(Malformed) } else { Ok(None) };
+    };
+    let digits = &window[1..end];
+    if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
+        return Err(Malformed);
+    }
+    let number = std::str::from_utf8(digits).ok().and_then(|d| d.parse().ok()).ok_or(Malformed)?;
+    Ok(Some((number, at + end + 2)))
+}
+
+fn reply([id, word, fields, body]: [&[u8]; VALUES]) -> Result<Reply, Malformed> {
+    let text = |bytes| std::str::from_utf8(bytes).map_err(|_| Malformed);
+    let fields = Fields(text(fields)?);
+    let word = match text(word)? {
+        "data" => Word::Data { total: fields.count("total")? },
+        "full" => Word::Full,
+        "failed" => Word::Failed,
+        "moot" => Word::Moot,
+        "news" => Word::News(fields.note()?),
+        "page" => Word::Page { index: fields.count("index")? },
+        "well" | "ill" => Word::Health,
+        _ => return Err(Malformed),
+    };
+    let rows = matches!(word, Word::Data { .. } | Word::Page { .. });
+    if rows && text(body)?.chars().any(|c| c == '\r') {
+        return Err(Malformed);
+    }
+    Ok(Reply { id: text(id)?.into(), word, report: fields.report()?, body: body.to_vec() })
+}
+
+/// `name=value,name=value`, or `-` for none.
+struct Fields<'a>(&'a str);
+
+impl<'a> Fields<'a> {
+    fn get(&self, name: &str) -> Option<&'a str> {
+        let named = |field: &'a str| field.split_once('=').filter(|(n, _)| *n == name).map(|(_, v)| v);
+        self.0.split(',').find_map(named)
+    }
+
+    fn count(&self, name: &str) -> Result<usize, Malformed> {
+        self.get(name).and_then(|v| v.parse().ok()).ok_or(Malformed)
+    }
+
+    fn note(&self) -> Result<Option<Note>, Malformed> {
+        let Some(kind) = self.get("n") else { return Ok(None) };
+        let value = number(self.get("datum").ok_or(Malformed)?)?;
+        Ok(match kind {
+            "p" => Some(Note::Done(value)),
+            "s" => Some(Note::Spills(value)),
+            "w" if value == 2.0 => Some(Note::WaitsForLoad),
+            "w" => Some(Note::WaitsForMemory),
+            _ => None, // kinds to come
+        })
+    }
+
+    fn report(&self) -> Result<Option<Report>, Malformed> {
+        let Some(load) = self.get("l") else { return Ok(None) };
+        let mut report = Report::default();
+        for item in load.split(';').filter(|item| !item.is_empty()) {
+            let (name, value) = item.split_once(':').ok_or(Malformed)?;
+            let place = match name {
+                "util" | "busy" => &mut report.util,
+                "queue" | "q" => &mut report.queue,
+                "x0" => &mut report.memory,
+                "x1" => &mut report.disk,
+                _ => continue,
+            };
+            *place = Some(number(value)?);
+        }
+        Ok(Some(report))
+    }
+}
+
+fn number(text: &str) -> Result<f64, Malformed> {
+    text.parse::<f64>().ok().filter(|n| n.is_finite()).ok_or(Malformed)
+}
--- /dev/null
+++ b/src/link/resp/mod.rs
@@ -0,0 +1,367 @@
+//! Attempts over the platform's engine protocol: many on a connection, answers in any order, results in
+//! pages.
+
+mod frame;
+
+use crate::core::{Call, Ending, Link, News};
+use crate::limits::Limits;
+use crate::net::{Channel, Connection, Flow, Poller, Ready, Table, Time, Timers, Token};
+use frame::{command, Malformed, Reply, Word};
+use slipfront::interface::{EngineId, Lifecycle, Report, RequestId};
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+enum Alarm {
+    /// A connection must be up by now, or has been idle.
+    Connection(Token),
+    /// Nothing may begin to go to this engine any more.
+    Drained(EngineId),
+}
+
+/// What all connections to engines have in common.
+struct Shared {
+    limits: Rc<Limits>,
+    news: VecDeque<News>,
+    timers: Timers<Alarm>,
+}
+
+/// An attempt on its connection.
+struct Running {
+    attempt: u32,
+    /// By which its request can be taken back from the output.
+    tag: u64,
+    pages: Vec<Option<Vec<u8>>>,
+    missing: usize,
+    size: usize,
+    report: Option<Report>,
+}
+
+/// A connection to an engine; it belongs to the engine's id, never to the address.
+struct Line {
+    channel: Channel,
+    token: Token,
+    running: HashMap<RequestId, Running>,
+    /// Ids that were dropped here, and until when a late answer to them may still come.
+    echoes: Vec<(Time, RequestId)>,
+    /// While it connects, when it must be up; later, when it has been idle too long.
+    until: Time,
+}
+
+struct Engine {
+    address: SocketAddr,
+    /// Nothing may begin to go there after this.
+    closes: Option<Time>,
+    lines: Vec<Token>,
+}
+
+/// The connections to all engines.
+pub struct Resp {
+    table: Table<Line>,
+    engines: HashMap<EngineId, Engine>,
+    /// The connection of every attempt that is out.
+    calls: HashMap<(RequestId, u32), Token>,
+    shared: Shared,
+}
+
+impl Resp {
+    pub fn new(part: u8, poller: Rc<Poller>, limits: Rc<Limits>) -> Self {
+        let shared = Shared { limits, news: VecDeque::new(), timers: Timers::default() };
+        Self { table: Table::new(part, poller), engines: HashMap::new(), calls: HashMap::new(), shared }
+    }
+
+    pub fn take(&mut self) -> Option<News> {
+        let news = self.shared.news.pop_front()?;
+        if let News::Ended { id, attempt, .. } = &news {
+            self.calls.remove(&(id.clone(), *attempt));
+        }
+        Some(news)
+    }
+
+    pub fn next(&self) -> Option<Time> {
+        self.shared.timers.next()
+    }
+
+    pub fn ready(&mut self, now: Time, ready: Ready) {
+        self.table.ready(now, ready, &mut self.shared);
+    }
+
+    /// Follows the list of engines. `address` is absent where the list does not tell it.
+    pub fn engine(&mut self, now: Time, id: &EngineId, lifecycle: Lifecycle, address: Option<SocketAddr>) {
+        let closes = now + self.shared.limits.drain_grace;
+        if let Some(address) = address {
+            let fresh = || Engine { address, closes: None, lines: Vec::new() };
+            self.engines.entry(id.clone()).or_insert_with(fresh).address = address;
+        }
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        if lifecycle == Lifecycle::Ready {
+            engine.closes = None;
+        } else if engine.closes.is_none() {
+            engine.closes = Some(closes);
+            self.shared.timers.set(closes, Alarm::Drained(id.clone()));
+        }
+    }
+
+    pub fn alarm(&mut self, now: Time) {
+        while let Some(alarm) = self.shared.timers.due(now) {
+            match alarm {
+                Alarm::Connection(token) => self.line_alarm(now, token),
+                Alarm::Drained(id) => self.drained(now, &id),
+            }
+        }
+    }
+
+    fn line_alarm(&mut self, now: Time, token: Token) {
+        let Some(line) = self.table.get(token) else { return };
+        let waits = line.channel.connecting || line.running.is_empty();
+        if waits && line.until <= now {
+            self.table.close(now, token, &mut self.shared);
+        } else {
+            let again = if waits { line.until } else { now + self.shared.limits.engine_idle };
+            line.until = line.until.max(again);
+            self.shared.timers.set(again, Alarm::Connection(token));
+        }
+    }
+
+    /// The grace of a drain has passed. A request whose first byte is still here must not go out: the rule
+    /// counts a send from its first byte. It never ran.
+    fn drained(&mut self, now: Time, id: &EngineId) {
+        let Some(engine) = self.engines.get(id).filter(|e| e.closes.is_some_and(|at| at <= now)) else {
+            return;
+        };
+        for token in &engine.lines {
+            let Some(line) = self.table.get(*token) else { continue };
+            let Line { channel, running, .. } = line;
+            running.retain(|id, run| {
+                let unsent = channel.take_back(run.tag);
+                if unsent {
+                    self.shared.news.push_back(ended(id, run.attempt, Ending::NotSent, None));
+                }
+                !unsent
+            });
+        }
+    }
+
+    /// A connection to the engine with room for the call, or a new one.
+    fn line_for(&mut self, now: Time, call: &Call) -> Option<Token> {
+        let limits = self.shared.limits.clone();
+        let engine = self.engines.get_mut(&call.engine)?;
+        if engine.closes.is_some_and(|at| at <= now) {
+            return None;
+        }
+        let table = &mut self.table;
+        engine.lines.retain(|token| table.get(*token).is_some());
+        let fits = |line: &mut Line| {
+            line.echoes.retain(|echo| echo.0 > now);
+            let room = line.running.len() < limits.streams && line.channel.queued() < limits.unwritten;
+            let apart = !line.running.contains_key(&call.id) && line.echoes.iter().all(|e| e.1 != call.id);
+            room && apart
+        };
+        let fitting = engine.lines.iter().find(|token| table.get(**token).is_some_and(fits));
+        if let Some(token) = fitting {
+            return Some(*token);
+        }
+        if engine.lines.len() >= limits.pool {
+            return None;
+        }
+        let channel = Channel::connect(engine.address).ok()?;
+        let until = now + limits.connect;
+        let line = |token| Line { channel, token, running: HashMap::new(), echoes: Vec::new(), until };
+        let token = table.add(line).ok()?;
+        self.shared.timers.set(until, Alarm::Connection(token));
+        engine.lines.push(token);
+        Some(token)
+    }
+
+    fn settle(&mut self, now: Time, token: Token) {
+        self.table.settle(now, token, Flow::Open, &mut self.shared);
+    }
+}
+
+impl Link for Resp {
+    fn start(&mut self, now: Time, call: Call) {
+        let token = self.line_for(now, &call);
+        let Some(line) = token.and_then(|t| self.table.get(t)) else {
+            return self.shared.news.push_back(ended(&call.id, call.attempt, Ending::NotSent, None));
+        };
+        let token = line.token;
+        let tag = line.channel.push(request(now, &call));
+        let run =
+            Running { attempt: call.attempt, tag, pages: Vec::new(), missing: 0, size: 0, report: None };
+        line.running.insert(call.id.clone(), run);
+        self.calls.insert((call.id, call.attempt), token);
+        self.settle(now, token);
+    }
+
+    fn drop_call(&mut self, now: Time, id: &RequestId, attempt: u32) -> bool {
+        // Its end may be on its way to the core already; the core passes over what comes second.
+        let Some(token) = self.calls.remove(&(id.clone(), attempt)) else { return false };
+        let Some(line) = self.table.get(token) else { return false };
+        let Some(run) = line.running.remove(id) else { return false };
+        if line.running.is_empty() && !line.channel.connecting {
+            line.until = now + self.shared.limits.engine_idle;
+        }
+        if line.channel.take_back(run.tag) {
+            return true;
+        }
+        line.echoes.push((now + self.shared.limits.echo, id.clone()));
+        let word: &[u8] = if run.pages.is_empty() { b"DROP" } else { b"CLOSE" };
+        line.channel.push(command(&[word, id.as_bytes()]));
+        self.settle(now, token);
+        false
+    }
+
+    fn rank(&mut self, now: Time, id: &RequestId, attempt: u32, rank: u8) {
+        let Some(token) = self.calls.get(&(id.clone(), attempt)).copied() else { return };
+        let Some(line) = self.table.get(token).filter(|line| line.running.contains_key(id)) else { return };
+        line.channel.push(command(&[b"RANK", id.as_bytes(), rank.to_string().as_bytes()]));
+        self.settle(now, token);
+    }
+}
+
+/// The command that starts an attempt.
+fn request(now: Time, call: &Call) -> Vec<u8> {
+    let patience = ((call.deadline - now) * 1000.0).ceil().max(1.0);
+    let mut fields = format!("sort={},patience={patience}", call.work.class);
+    if let Some(key) = &call.work.key {
+        fields += &format!(",op={key}");
+    }
+    if let Some(memory) = call.memory {
+        fields += &format!(",pool={}", memory.ceil());
+    }
+    fields += &format!(",band={}", call.rank);
+    command(&[b"GET", call.id.as_bytes(), fields.as_bytes(), &call.work.statement])
+}
+
+fn ended(id: &RequestId, attempt: u32, ending: Ending, report: Option<Report>) -> News {
+    News::Ended { id: id.clone(), attempt, ending, report }
+}
+
+impl Connection for Line {
+    type Shared = Shared;
+
+    fn channel(&mut self) -> &mut Channel {
+        &mut self.channel
+    }
+
+    fn readable(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        let mut at = 0;
+        let flow = loop {
+            match frame::read(&self.channel.input[at..], &shared.limits) {
+                Ok(Some((reply, length))) => {
+                    at += length;
+                    if self.reply(now, reply, shared).is_err() {
+                        break Flow::Close;
+                    }
+                }
+                Ok(None) => break Flow::Open,
+                Err(Malformed) => break Flow::Close,
+            }
+        };
+        self.channel.input.drain(..at);
+        flow
+    }
+
+    fn writable(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        self.until = now + shared.limits.engine_idle;
+        Flow::Open
+    }
+
+    /// What was still unsent never ran; the rest may have.
+    fn closed(&mut self, _: Time, shared: &mut Shared) {
+        for (id, run) in self.running.drain() {
+            let unsent = self.channel.take_back(run.tag);
+            let ending = if unsent { Ending::NotSent } else { Ending::Broken };
+            shared.news.push_back(ended(&id, run.attempt, ending, None));
+        }
+    }
+}
+
+impl Line {
+    fn reply(&mut self, now: Time, reply: Reply, shared: &mut Shared) -> Result<(), Malformed> {
+        // Late answers to what was dropped.
+        let Some((id, run)) = self.running.get_key_value(reply.id.as_str()) else { return Ok(()) };
+        let (id, attempt) = (id.clone(), run.attempt);
+        let ending = match reply.word {
+            Word::Full => Ending::Full,
+            Word::Failed => Ending::Error,
+            Word::Moot => Ending::Moot,
+            Word::News(note) => {
+                shared.news.extend(note.map(|note| News::Noted { id, attempt, note }));
+                return Ok(());
+            }
+            Word::Health => return Err(Malformed),
+            Word::Data { total } => {
+                self.data(&id, total, reply.report, shared)?;
+                return self.page(now, id, 0, reply.body, shared);
+            }
+            Word::Page { index } => return self.page(now, id, index, reply.body, shared),
+        };
+        self.end(now, &id, ending, reply.report, shared);
+        Ok(())
+    }
+
+    /// The result is ready: asks for all further pages at once.
+    fn data(
+        &mut self,
+        id: &RequestId,
+        total: usize,
+        report: Option<Report>,
+        shared: &Shared,
+    ) -> Result<(), Malformed> {
+        let run = self.running.get_mut(id).ok_or(Malformed)?;
+        if !run.pages.is_empty() || total > shared.limits.pages {
+            return Err(Malformed);
+        }
+        let total = total.max(1); // the first page is here in any case
+        run.pages = vec![None; total];
+        run.missing = total;
+        run.report = report;
+        for index in 1..total {
+            self.channel.push(command(&[b"PAGE", id.as_bytes(), index.to_string().as_bytes()]));
+        }
+        Ok(())
+    }
+
+    fn page(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        index: usize,
+        body: Vec<u8>,
+        shared: &mut Shared,
+    ) -> Result<(), Malformed> {
+        let run = self.running.get_mut(&id).ok_or(Malformed)?;
+        run.size += body.len();
+        let place = run.pages.get_mut(index).filter(|page| page.is_none()).ok_or(Malformed)?;
+        if body.len() > shared.limits.page || run.size > shared.limits.result {
+            return Err(Malformed);
+        }
+        *place = Some(body);
+        run.missing -= 1;
+        if run.missing > 0 {
+            return Ok(());
+        }
+        let (pages, report) = (std::mem::take(&mut run.pages), run.report);
+        if pages.len() > 1 {
+            self.channel.push(command(&[b"CLOSE", id.as_bytes()]));
+        }
+        self.end(now, &id, Ending::Served(pages.into_iter().flatten().collect()), report, shared);
+        Ok(())
+    }
+
+    fn end(
+        &mut self,
+        now: Time,
+        id: &RequestId,
+        ending: Ending,
+        report: Option<Report>,
+        shared: &mut Shared,
+    ) {
+        let Some(run) = self.running.remove(id) else { return };
+        shared.news.push_back(ended(id, run.attempt, ending, report));
+        if self.running.is_empty() {
+            self.until = now + shared.limits.engine_idle;
+        }
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,24 @@
+//! dahliaspoke: the coordinator before the query engines, round the decision module in the library.
+#![forbid(unsafe_code)]
+
+mod config;
+mod core;
+mod daemon;
+mod front;
+mod limits;
+mod link;
+mod membership;
+mod net;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let end = config::Config::from_env().and_then(|config| daemon::Daemon::start(config)?.run());
+    match end {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("dahliaspoke: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/known.rs
@@ -0,0 +1,50 @@
+//! The events that the configuration holds at the start.
+
+use super::{started, Member, Members};
+use serde_json::{Map, Value};
+use slipfront::interface::{EngineEntry, Lifecycle};
+use slipfront::settings::{field, flag, list, num, object, part, word, Res};
+
+/// The list after all events, and the number of the last.
+pub fn read(config: &Map<String, Value>) -> Res<(u32, Members)> {
+    let none = Map::new();
+    let known = part(config, "known", &none)?;
+    let mut members = Members::default();
+    for event in list(known, "events")? {
+        let event = part(object(event, "an event")?, "members", &none)?;
+        let servers = list(event, "servers")?.iter().map(member).collect::<Res<Vec<_>>>()?;
+        if flag(event, "full")? {
+            members.replace(servers);
+        } else {
+            members.change(servers);
+        }
+    }
+    Ok((num(known, "n", 0.0)? as u32, members))
+}
+
+fn member(value: &Value) -> Res<Member> {
+    let map = object(value, "a server")?;
+    let lifecycle = match word(map, "state", "active")? {
+        "active" => Lifecycle::Ready,
+        "leaving" => Lifecycle::Draining,
+        "left" => Lifecycle::Gone,
+        other => return Err(format!("unknown state {other}")),
+    };
+    let id = word(map, "id", "")?;
+    let address = match field(map, "addr") {
+        None => None,
+        Some(_) => Some(word(map, "addr", "")?.parse().map_err(|e| format!("addr of {id}: {e}"))?),
+    };
+    if id.is_empty() || address.is_none() && lifecycle != Lifecycle::Gone {
+        return Err("a server has no id or no address".into());
+    }
+    let entry = EngineEntry {
+        id: id.into(),
+        zone: word(map, "zone", "")?.into(),
+        kind: word(map, "kind", "")?.into(),
+        cell: num(map, "cell", 0.0)? as i64,
+        lifecycle,
+        started: started(num(map, "started_ms", 0.0)?),
+    };
+    Ok(Member { entry, address })
+}
--- /dev/null
+++ b/src/net/channel.rs
@@ -0,0 +1,142 @@
+//! A socket with its two buffers. Output is kept in whole messages, so that one of which no byte has gone
+//! out can still be taken back.
+
+use rustix::net::{AddressFamily, SocketFlags, SocketType};
+use std::collections::VecDeque;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+
+/// Bytes asked of the kernel in one read.
+const READ: usize = 16 << 10;
+
+/// What a read brought.
+pub enum Fill {
+    Bytes,
+    Nothing,
+    End,
+}
+
+struct Message {
+    tag: u64,
+    bytes: Vec<u8>,
+}
+
+/// A non-blocking TCP connection.
+pub struct Channel {
+    pub stream: TcpStream,
+    pub input: Vec<u8>,
+    output: VecDeque<Message>,
+    written: usize,
+    queued: usize,
+    next_tag: u64,
+    pub connecting: bool,
+}
+
+impl Channel {
+    /// Around a socket that was accepted.
+    pub fn accepted(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        Ok(Self::around(stream, false))
+    }
+
+    /// Begins to connect.
+    pub fn connect(to: SocketAddr) -> io::Result<Self> {
+        let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        let socket = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
+        match rustix::net::connect(&socket, &to) {
+            Ok(()) | Err(rustix::io::Errno::INPROGRESS) => {}
+            Err(error) => return Err(error.into()),
+        }
+        let stream = TcpStream::from(socket);
+        stream.set_nodelay(true)?;
+        Ok(Self::around(stream, true))
+    }
+
+    fn around(stream: TcpStream, connecting: bool) -> Self {
+        Self {
+            stream,
+            input: Vec::new(),
+            output: VecDeque::new(),
+            written: 0,
+            queued: 0,
+            next_tag: 0,
+            connecting,
+        }
+    }
+
+    /// Queues a message and returns the tag by which it can be taken back.
+    pub fn push(&mut self, bytes: Vec<u8>) -> u64 {
+        self.next_tag += 1;
+        self.queued += bytes.len();
+        self.output.push_back(Message { tag: self.next_tag, bytes });
+        self.next_tag
+    }
+
+    /// Bytes that have not gone out.
+    pub fn queued(&self) -> usize {
+        self.queued - self.written
+    }
+
+    /// Takes a message back, if none of its bytes has gone out.
+    pub fn take_back(&mut self, tag: u64) -> bool {
+        let Ok(at) = self.output.binary_search_by_key(&tag, |m| m.tag) else { return false };
+        if at == 0 && self.written > 0 {
+            return false;
+        }
+        self.output.remove(at).map(|m| self.queued -= m.bytes.len()).is_some()
+    }
+
+    /// Writes what the socket takes.
+    pub fn flush(&mut self) -> io::Result<()> {
+        if self.connecting {
+            return Ok(());
+        }
+        while let Some(front) = self.output.front() {
+            match self.stream.write(&front.bytes[self.written..]) {
+                Ok(count) => {
+                    self.written += count;
+                    if self.written == front.bytes.len() {
+                        self.queued -= self.written;
+                        self.written = 0;
+                        self.output.pop_front();
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads once.
+    pub fn fill(&mut self) -> io::Result<Fill> {
+        let held = self.input.len();
+        self.input.resize(held + READ, 0);
+        let read = self.stream.read(&mut self.input[held..]);
+        self.input.truncate(held + read.as_ref().map_or(0, |n| *n));
+        match read {
+            Ok(0) => Ok(Fill::End),
+            Ok(_) => Ok(Fill::Bytes),
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
+                Ok(Fill::Nothing)
+            }
+            Err(e) => Err(e),
+        }
+    }
+
+    /// The socket became writable while it connected: it is up, or it failed.
+    pub fn connected(&mut self) -> io::Result<()> {
+        rustix::net::sockopt::socket_error(&self.stream)??;
+        self.connecting = false;
+        Ok(())
+    }
+
+    /// Nothing more will be written.
+    pub fn finish_writing(&self) {
+        // The peer may have gone already; the descriptor is closed in any case.
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,13 @@
+//! The event loop's parts: epoll, connection objects with callbacks, buffers, timers, the clock.
+
+mod channel;
+mod clock;
+mod poller;
+mod table;
+mod timers;
+
+pub use channel::Channel;
+pub use clock::{Clock, Time};
+pub use poller::{Poller, Ready, Token};
+pub use table::{Connection, Flow, Table};
+pub use timers::Timers;
--- /dev/null
+++ b/src/net/poller.rs
@@ -0,0 +1,91 @@
+//! epoll, by rustix.
+
+use super::Time;
+use rustix::event::epoll::{self, CreateFlags, EventData, EventFlags};
+use rustix::event::Timespec;
+use std::io;
+use std::os::fd::{AsFd, OwnedFd};
+
+/// Names a descriptor to its owner: which part of the daemon, which place in it, which use of that place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Token {
+    pub part: u8,
+    pub place: u32,
+    pub turn: u32,
+}
+
+const TURN_BITS: u32 = 24;
+
+impl Token {
+    pub fn new(part: u8, place: u32, turn: u32) -> Self {
+        Self { part, place, turn: turn & ((1 << TURN_BITS) - 1) }
+    }
+
+    fn pack(self) -> u64 {
+        u64::from(self.part) << 56 | u64::from(self.turn) << 32 | u64::from(self.place)
+    }
+
+    fn unpack(data: u64) -> Self {
+        Self {
+            part: (data >> 56) as u8,
+            place: data as u32,
+            turn: (data >> 32) as u32 & ((1 << TURN_BITS) - 1),
+        }
+    }
+}
+
+/// What a descriptor is ready for. An error or a hang-up shows as both.
+#[derive(Clone, Copy, Debug)]
+pub struct Ready {
+    pub token: Token,
+    pub readable: bool,
+    pub writable: bool,
+}
+
+/// Level-triggered epoll.
+pub struct Poller {
+    epoll: OwnedFd,
+}
+
+fn flags(read: bool, write: bool) -> EventFlags {
+    let mut flags = EventFlags::empty();
+    flags.set(EventFlags::IN | EventFlags::RDHUP, read);
+    flags.set(EventFlags::OUT, write);
+    flags
+}
+
+impl Poller {
+    pub fn new() -> io::Result<Self> {
+        Ok(Self { epoll: epoll::create(CreateFlags::CLOEXEC)? })
+    }
+
+    pub fn add(&self, fd: impl AsFd, token: Token, write: bool) -> io::Result<()> {
+        Ok(epoll::add(&self.epoll, fd, EventData::new_u64(token.pack()), flags(true, write))?)
+    }
+
+    pub fn change(&self, fd: impl AsFd, token: Token, read: bool, write: bool) -> io::Result<()> {
+        Ok(epoll::modify(&self.epoll, fd, EventData::new_u64(token.pack()), flags(read, write))?)
+    }
+
+    /// Waits until something is ready or `until` has come.
+    pub fn wait(&self, now: Time, until: Time, ready: &mut Vec<Ready>) -> io::Result<()> {
+        ready.clear();
+        let mut events = Vec::with_capacity(256);
+        let wait = (until - now).clamp(0.0, 3600.0);
+        let wait = Timespec { tv_sec: wait as i64, tv_nsec: (wait.fract() * 1e9) as _ };
+        match epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut events), Some(&wait)) {
+            Ok(_) | Err(rustix::io::Errno::INTR) => {}
+            Err(error) => return Err(error.into()),
+        }
+        ready.extend(events.iter().map(|event: &epoll::Event| {
+            let (flags, data) = (event.flags, event.data);
+            let ended = flags.intersects(EventFlags::ERR | EventFlags::HUP);
+            Ready {
+                token: Token::unpack(data.u64()),
+                readable: ended || flags.intersects(EventFlags::IN | EventFlags::RDHUP),
+                writable: ended || flags.contains(EventFlags::OUT),
+            }
+        }));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/net/table.rs
@@ -0,0 +1,170 @@
+//! The connections of one part of the daemon, each an object with callbacks.
+
+use super::channel::Fill;
+use super::{Channel, Poller, Ready, Time, Token};
+use std::io;
+use std::rc::Rc;
+
+/// What becomes of a connection after a callback.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flow {
+    /// It goes on.
+    Open,
+    /// It is closed at once.
+    Close,
+    /// What is queued goes out; what still comes in is passed over.
+    Finish,
+}
+
+/// A connection. `Shared` is what the connections of its table have in common.
+pub trait Connection {
+    type Shared;
+
+    fn channel(&mut self) -> &mut Channel;
+
+    /// New bytes stand in the channel's input.
+    fn readable(&mut self, now: Time, shared: &mut Self::Shared) -> Flow;
+
+    /// The connection came up, or the socket took bytes.
+    fn writable(&mut self, now: Time, shared: &mut Self::Shared) -> Flow;
+
+    /// The connection is over, whoever ended it. Nothing more is called.
+    fn closed(&mut self, now: Time, shared: &mut Self::Shared);
+}
+
+struct Slot<C> {
+    turn: u32,
+    open: Option<Open<C>>,
+}
+
+struct Open<C> {
+    connection: C,
+    interest: (bool, bool),
+    finishing: bool,
+    ended: bool, // our side is shut down
+}
+
+/// Connections by token.
+pub struct Table<C> {
+    part: u8,
+    poller: Rc<Poller>,
+    slots: Vec<Slot<C>>,
+    free: Vec<u32>,
+}
+
+impl<C: Connection> Table<C> {
+    pub fn new(part: u8, poller: Rc<Poller>) -> Self {
+        Self { part, poller, slots: Vec::new(), free: Vec::new() }
+    }
+
+    pub fn len(&self) -> usize {
+        self.slots.len() - self.free.len()
+    }
+
+    /// Takes in the connection that `make` builds round its own token.
+    pub fn add(&mut self, make: impl FnOnce(Token) -> C) -> io::Result<Token> {
+        let place = self.free.last().copied().unwrap_or(self.slots.len() as u32);
+        let turn = self.slots.get(place as usize).map_or(0, |slot| slot.turn);
+        let token = Token::new(self.part, place, turn);
+        let mut connection = make(token);
+        let write = connection.channel().connecting;
+        self.poller.add(&connection.channel().stream, token, write)?;
+        let open = Some(Open { connection, interest: (true, write), finishing: false, ended: false });
+        match self.free.pop() {
+            Some(_) => self.slots[place as usize].open = open,
+            None => self.slots.push(Slot { turn, open }),
+        }
+        Ok(token)
+    }
+
+    fn open(&mut self, token: Token) -> Option<&mut Open<C>> {
+        let slot = self.slots.get_mut(token.place as usize)?;
+        slot.open.as_mut().filter(|_| Token::new(self.part, token.place, slot.turn) == token)
+    }
+
+    pub fn get(&mut self, token: Token) -> Option<&mut C> {
+        self.open(token).map(|open| &mut open.connection)
+    }
+
+    /// Tokens of all that are open.
+    pub fn tokens(&self) -> Vec<Token> {
+        let token = |(at, slot): (usize, &Slot<C>)| {
+            slot.open.as_ref().map(|_| Token::new(self.part, at as u32, slot.turn))
+        };
+        self.slots.iter().enumerate().filter_map(token).collect()
+    }
+
+    /// Runs the callbacks that a ready descriptor calls for.
+    pub fn ready(&mut self, now: Time, ready: Ready, shared: &mut C::Shared) {
+        let Some(open) = self.open(ready.token) else { return };
+        let flow = open.step(now, ready, shared);
+        self.settle(now, ready.token, flow, shared);
+    }
+
+    /// Sends what a connection has queued since, and does what `flow` says.
+    pub fn settle(&mut self, now: Time, token: Token, flow: Flow, shared: &mut C::Shared) {
+        let Some(open) = self.open(token) else { return };
+        open.finishing |= flow == Flow::Finish;
+        if flow == Flow::Close || open.push_out().is_err() {
+            return self.close(now, token, shared);
+        }
+        // A connection with bytes unwritten and a full input is read on: a close must be seen. What is read
+        // is bounded by the connection's own limits.
+        let interest = (true, open.connection.channel().connecting || open.connection.channel().queued() > 0);
+        if interest != open.interest {
+            open.interest = interest;
+            let poller = self.poller.clone();
+            let Some(open) = self.open(token) else { return };
+            let stream = &open.connection.channel().stream;
+            if poller.change(stream, token, interest.0, interest.1).is_err() {
+                self.close(now, token, shared);
+            }
+        }
+    }
+
+    /// Ends a connection.
+    pub fn close(&mut self, now: Time, token: Token, shared: &mut C::Shared) {
+        if self.open(token).is_none() {
+            return;
+        }
+        let slot = &mut self.slots[token.place as usize];
+        let Some(mut open) = slot.open.take() else { return };
+        slot.turn = slot.turn.wrapping_add(1);
+        self.free.push(token.place);
+        open.connection.closed(now, shared);
+    }
+}
+
+impl<C: Connection> Open<C> {
+    fn step(&mut self, now: Time, ready: Ready, shared: &mut C::Shared) -> Flow {
+        let mut flow = Flow::Open;
+        if ready.writable {
+            let channel = self.connection.channel();
+            if channel.connecting && channel.connected().is_err() || channel.flush().is_err() {
+                return Flow::Close;
+            }
+            flow = self.connection.writable(now, shared);
+        }
+        if ready.readable && flow == Flow::Open {
+            let channel = self.connection.channel();
+            match channel.fill() {
+                Ok(Fill::Bytes) if self.finishing => channel.input.clear(),
+                Ok(Fill::Bytes) => flow = self.connection.readable(now, shared),
+                Ok(Fill::Nothing) => {}
+                Ok(Fill::End) | Err(_) => flow = Flow::Close,
+            }
+        }
+        flow
+    }
+
+    /// Writes; once a finishing connection has written all, its side is shut down.
+    fn push_out(&mut self) -> io::Result<()> {
+        let channel = self.connection.channel();
+        channel.flush()?;
+        if self.finishing && !self.ended && channel.queued() == 0 {
+            channel.finish_writing();
+            self.ended = true;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/net/timers.rs
@@ -0,0 +1,58 @@
+//! A heap of absolute times. An alarm cannot be taken back: its owner looks whether it still matters.
+
+use super::Time;
+use std::cmp::{Ordering, Reverse};
+use std::collections::BinaryHeap;
+
+struct Entry<T> {
+    at: Time,
+    turn: u64,
+    alarm: T,
+}
+
+impl<T> PartialEq for Entry<T> {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+impl<T> Eq for Entry<T> {}
+impl<T> PartialOrd for Entry<T> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl<T> Ord for Entry<T> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.at.total_cmp(&other.at).then(self.turn.cmp(&other.turn))
+    }
+}
+
+/// Alarms by time; those of one time in the order they were set.
+pub struct Timers<T> {
+    heap: BinaryHeap<Reverse<Entry<T>>>,
+    turn: u64,
+}
+
+impl<T> Default for Timers<T> {
+    fn default() -> Self {
+        Self { heap: BinaryHeap::new(), turn: 0 }
+    }
+}
+
+impl<T> Timers<T> {
+    pub fn set(&mut self, at: Time, alarm: T) {
+        self.turn += 1;
+        self.heap.push(Reverse(Entry { at, turn: self.turn, alarm }));
+    }
+
+    /// When the nearest alarm is due.
+    pub fn next(&self) -> Option<Time> {
+        self.heap.peek().map(|entry| entry.0.at)
+    }
+
+    /// Takes out one alarm that is due.
+    pub fn due(&mut self, now: Time) -> Option<T> {
+        self.next().filter(|at| *at <= now)?;
+        self.heap.pop().map(|entry| entry.0.alarm)
+    }
+}
