--- a/examples/dispatcher.rs
+++ b/examples/dispatcher.rs
@@ -3,8 +3,8 @@
 //!
 //! Its engines are a list of calls that `main` ends by hand; a real one would put a network client there.
 
-use slipfront::choice::Gateway;
-use slipfront::interface::*;
+use dahliaspoke::choice::Gateway;
+use dahliaspoke::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
 /// One attempt that an engine works on.
--- a/src/bin/slipfront-benchlink/main.rs
+++ b/src/bin/dahliaspoke-benchlink/main.rs
@@ -29,7 +29,7 @@
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("slipfront-benchlink: {message}");
+            eprintln!("dahliaspoke-benchlink: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/slipfront-benchlink/wire.rs
+++ b/src/bin/dahliaspoke-benchlink/wire.rs
@@ -1,9 +1,9 @@
 //! The wire's names and shapes, to and from the library's types. Translation only.
 
+use dahliaspoke::choice::Gateway;
+use dahliaspoke::interface::*;
+use dahliaspoke::settings::{field, object, part, settings, words, Res};
 use serde_json::{json, Map, Value};
-use slipfront::choice::Gateway;
-use slipfront::interface::*;
-use slipfront::settings::{field, object, part, settings, words, Res};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,4 +1,4 @@
-//! Every decision of slipfront. Its types, events and actions are in `src/interface.rs`.
+//! Every decision of dahliaspoke. Its types, events and actions are in `src/interface.rs`.
 //!
 //! The ordinary path: each engine has a bound on this gateway's unfinished estimated milliseconds there; a
 //! query goes where a weighted draw puts it and the bound has room, and a PI loop moves the bound each
--- a/src/config.rs
+++ b/src/config.rs
@@ -2,9 +2,9 @@
 
 use crate::limits::Limits;
 use crate::membership::{known, Members};
+use dahliaspoke::interface::Settings;
+use dahliaspoke::settings::{object, part, settings, word, Res};
 use serde_json::Value;
-use slipfront::interface::Settings;
-use slipfront::settings::{object, part, settings, word, Res};
 use std::net::SocketAddr;
 
 /// The environment variable that names the configuration file.
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -1,6 +1,6 @@
 //! Counts of what came in, went out and was answered.
 
-use slipfront::interface::Outcome;
+use dahliaspoke::interface::Outcome;
 use std::fmt;
 
 #[derive(Clone, Debug, Default)]
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,8 +7,8 @@
 pub use counters::Counters;
 
 use crate::net::{Time, Timers};
-use slipfront::choice::Gateway;
-use slipfront::interface::*;
+use dahliaspoke::choice::Gateway;
+use dahliaspoke::interface::*;
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! Slipfront decides, for a gateway before analytic engines, which query goes to which engine, when,
+//! Dahliaspoke decides, for a gateway before analytic engines, which query goes to which engine, when,
 //! when again, and which is refused.
 //!
 //! The whole of it is one pure state machine, [`choice::Gateway`]: feed it [`interface::Event`]s with the
@@ -6,8 +6,8 @@
 //! output, starts no thread and reads no clock.
 //!
 //! ```
-//! use slipfront::choice::Gateway;
-//! use slipfront::interface::*;
+//! use dahliaspoke::choice::Gateway;
+//! use dahliaspoke::interface::*;
 //!
 //! let class = ClassSettings {
 //!     name: "dashboard".into(), aim: 0.5, aim_stretch: 1.5, give_up: 3.0, worth: 1.0, late_worth: 0.1,
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -1,7 +1,7 @@
 //! Every size, count and time that bounds the daemon, filled once at start and handed down.
 
+use dahliaspoke::settings::{num, object, part, Res};
 use serde_json::Value;
-use slipfront::settings::{num, object, part, Res};
 
 /// Sizes are bytes, times are seconds.
 #[derive(Clone, Debug)]
--- a/src/link/resp/frame.rs
+++ b/src/link/resp/frame.rs
@@ -1,7 +1,7 @@
 //! RESP arrays of bulk strings, and the commands and answers that are worded in them.
 
 use crate::limits::Limits;
-use slipfront::interface::{Note, Report};
+use dahliaspoke::interface::{Note, Report};
 
 /// The bytes are no answer.
 #[derive(Debug, PartialEq, Eq)]
--- a/src/membership/dns/message.rs
+++ b/src/membership/dns/message.rs
@@ -1,7 +1,7 @@
 //! DNS messages (RFC 1035, SRV by RFC 2782): the one query, and the answers to it.
 
 use crate::membership::{started, Member};
-use slipfront::interface::{EngineEntry, Lifecycle};
+use dahliaspoke::interface::{EngineEntry, Lifecycle};
 use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
 
--- a/src/membership/known.rs
+++ b/src/membership/known.rs
@@ -1,9 +1,9 @@
 //! The events that the configuration holds at the start.
 
 use super::{started, Member, Members};
+use dahliaspoke::interface::{EngineEntry, Lifecycle};
+use dahliaspoke::settings::{field, flag, list, num, object, part, word, Res};
 use serde_json::{Map, Value};
-use slipfront::interface::{EngineEntry, Lifecycle};
-use slipfront::settings::{field, flag, list, num, object, part, word, Res};
 
 /// The list after all events, and the number of the last.
 pub fn read(config: &Map<String, Value>) -> Res<(u32, Members)> {
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -3,7 +3,7 @@
 pub mod dns;
 pub mod known;
 
-use slipfront::interface::{EngineEntry, EngineId, Lifecycle};
+use dahliaspoke::interface::{EngineEntry, EngineId, Lifecycle};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small world for tests: settings, and a gateway that keeps what it asked for.
 #![allow(dead_code)]
 
-use slipfront::choice::Gateway;
-use slipfront::interface::*;
+use dahliaspoke::choice::Gateway;
+use dahliaspoke::interface::*;
 
 pub fn class(name: &str, effect: Effect) -> ClassSettings {
     ClassSettings {
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use slipfront::interface::*;
+use dahliaspoke::interface::*;
 
 /// A gateway whose one engine serves queries of 100 ms, each taking `delay`, `count` a second.
 fn serve(w: &mut World, from: usize, seconds: usize, count: usize, delay: f64) {
--- a/tests/example.rs
+++ b/tests/example.rs
@@ -2,8 +2,8 @@
 
 #[path = "../examples/dispatcher.rs"]
 mod dispatcher;
+use dahliaspoke::interface::*;
 use dispatcher::*;
-use slipfront::interface::*;
 
 fn two_engines() -> Dispatcher {
     let mut d = Dispatcher::new(settings(), 1);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use slipfront::interface::*;
+use dahliaspoke::interface::*;
 
 fn lookups() -> Settings {
     settings(vec![class("q", Effect::Repeatable)])
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use slipfront::interface::*;
+use dahliaspoke::interface::*;
 
 #[test]
 fn every_request_is_answered_once_before_its_time_is_up() {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use slipfront::interface::*;
+use dahliaspoke::interface::*;
 
 fn crowd(gateways: usize, number: usize) -> Settings {
     let mut s = settings(vec![class("q", Effect::Repeatable)]);
