--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,7 +22,8 @@
 const SLACK_SPREAD: f64 = 0.03; // growth of slack with falling worth (exponent of the ratio of worths)
 const DDR_CAP: f64 = 3.0; // most that one sample counts (ratio): one runaway must not close an engine
 const START_PER_CORE: f64 = 1900.0; // most that a starting bound is (ms a core): about two queries
-const START_ALL: f64 = 9000.0; // starting bounds of all gateways together (ms a core)
+const START_ALL: f64 = 2600.0; // starting bounds of all gateways together (ms a core)
+const CEILING: f64 = 1.2; // most that a bound grows to (starting ones): a burst after a calm jams all
 const STEP_CAP: f64 = 0.25; // most growth of a bound in one period (share of it): anti-windup
 const FALL_TIMES: f64 = 2.0; // a bound may fall by so many times that: it opens wide at the start
 const USED_SHARE: f64 = 0.6; // a bound grows only if the backlog used this share of it: anti-windup
@@ -47,6 +48,7 @@
 const COME_BACK_AIMS: f64 = 0.25; // come-back time (aims), jittered by half either way
 const TICK: f64 = 0.1; // housekeeping (s): how soon silence is seen
 const HELD_TABLES: f64 = 0.05; // draw weight where a load seems to hold the query's tables
+const HOLDS_FOR: f64 = 0.5; // of a middling load's time, for which a note of one that holds is believed
 const STALL_TIMES: f64 = 1.5; // expected delays after which a reader seems to stand still
 const SPARE_LEAST: f64 = 0.02; // least draw weight of engines that bound classes need
 const LATELY: f64 = 10.0; // span of what was asked for by class, and served (s)
@@ -160,6 +162,7 @@
     ghosts: Vec<(f64, f64)>,
     load: Report,
     sent_since: f64,
+    holds: BTreeMap<i64, f64>, // tables that a note told a load to hold, and until when that is believed
     // health
     ejected: bool,
     last_heard: f64,
@@ -180,6 +183,11 @@
         self.flights.values().map(waits).fold(faded.max(1.0), f64::max)
     }
 
+    /// Whether a note told of a load on these tables that may still run.
+    fn holds(&self, now: f64, tables: i64) -> bool {
+        self.holds.get(&tables).is_some_and(|until| now < *until)
+    }
+
     fn backlog(&self) -> f64 {
         self.flights.values().map(|f| f.cost).sum::<f64>() + self.ghosts.iter().map(|g| g.1).sum::<f64>()
     }
@@ -435,7 +443,7 @@
         let settings = &self.settings.classes[class];
         let mut allowed: Vec<&Engine> =
             self.engines.values().filter(|e| self.may_send(now, request, e)).collect();
-        let fresh = |e: &Engine| !request.attempts.iter().any(|a| a.engine == e.entry.id);
+        let fresh = |e: &Engine| !tried_there(request, e);
         if allowed.iter().any(|e| fresh(e) && !e.ejected) {
             allowed.retain(|e| fresh(e));
         }
@@ -465,7 +473,8 @@
             weight *= if bound && engine.load.util.is_none() { self.spare(class, engine) } else { 1.0 };
             // Another gateway's load is seen only by its readers of the group that stand still.
             let stands = |f: &Flight| f.is_load || now - f.sent > STALL_TIMES * f.expected;
-            if engine.flights.values().any(|f| f.tables == request.query.tables && stands(f)) {
+            let held = engine.holds(now, request.query.tables);
+            if held || engine.flights.values().any(|f| f.tables == request.query.tables && stands(f)) {
                 weight *= HELD_TABLES;
             }
             order.push((-(1.0 - uniform(&mut self.rng)).ln() / weight, engine));
@@ -777,6 +786,9 @@
         let moves = !matches!(note, Note::Done(_)); // these leave one try in hand for failures
         let more = attempt + 1 + u32::from(moves) < self.settings.max_attempts && self.within_budget(now);
         let (again, sigma) = (safe && more && self.settings.may_cancel, self.sigma(request));
+        let (tables, load) = (request.query.tables, self.load_time());
+        let free = |e: &&Engine| e.live() && !e.ejected && !e.holds(now, tables);
+        let elsewhere = self.engines.values().filter(free).any(|e| !tried_there(request, e));
         let Some(request) = self.requests.get_mut(&number) else { return };
         let tried = &mut request.attempts[attempt as usize];
         let worth = match (note, request.granted) {
@@ -788,6 +800,12 @@
                 tried.noted = None; // its pace counts from the first news after that
                 true
             }
+            (Note::WaitsForLoad, _) => {
+                if let Some(engine) = self.engines.get_mut(&tried.engine) {
+                    engine.holds.insert(tables, now + HOLDS_FOR * load);
+                }
+                elsewhere
+            }
             (Note::Done(share), _) => {
                 let (since, had) = *tried.noted.get_or_insert((now, share));
                 let rest = (now - since) * (1.0 - share) / (share - had).max(0.01);
@@ -801,6 +819,12 @@
         }
     }
 
+    /// How long a middling load runs (seconds).
+    fn load_time(&self) -> f64 {
+        let classes = self.settings.classes.iter().enumerate().filter(|(_, c)| c.is_load);
+        classes.map(|(at, _)| self.usual_sigma(at) * self.classes[at].slowness()).fold(0.0, f64::max)
+    }
+
     /// Learns what estimates of memory stand for: the middling need where told, else so much that few spill.
     fn learn_memory(&mut self, number: u64, need: Option<f64>) {
         let request = &self.requests[&number];
@@ -877,6 +901,7 @@
         let window = self.settings.fall_window;
         for engine in self.engines.values_mut() {
             engine.ghosts.retain(|g| g.0 > now);
+            engine.holds.retain(|_, until| *until > now);
             engine.sends.retain(|x| x.0 >= now - window - 1.0);
             let ejected = engine.trouble(now) > EJECT_TIMES;
             if ejected != std::mem::replace(&mut engine.ejected, ejected) {
@@ -950,7 +975,7 @@
                 engine.delta = 0.0;
                 continue;
             }
-            engine.bound = (engine.bound + engine.delta * step).floor();
+            engine.bound = (engine.bound + engine.delta * step).floor().min(rest * CEILING);
             if engine.bound <= unit {
                 (engine.bound, engine.delta) = (unit, 0.0);
             }
@@ -969,6 +994,11 @@
         && class.kinds.as_ref().is_none_or(|kinds| kinds.iter().any(|k| **k == *entry.kind))
 }
 
+/// Whether the request has had an attempt there.
+fn tried_there(request: &Request, engine: &Engine) -> bool {
+    request.attempts.iter().any(|a| a.engine == engine.entry.id)
+}
+
 fn uniform(rng: &mut Pcg64Mcg) -> f64 {
     (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
 }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -115,3 +115,21 @@
     };
     assert_eq!(run(), run());
 }
+
+/// A long calm wound the bound up, and the burst after it jammed every engine.
+#[test]
+fn a_bound_grows_to_a_ceiling_near_its_start_however_calm_the_day() {
+    let mut w = World::new(settings(vec![class("q", Effect::Repeatable)]), &["e1"]);
+    let start = w.bound("e1");
+    for second in 0..60 {
+        let ids = (0..).map(|n| format!("r{second}-{n}"));
+        let taken: Vec<_> = ids.take_while(|id| !refused(&w.query(id, 0, 500.0))).collect();
+        w.wait(0.1);
+        for id in &taken {
+            w.end(id, 0, Outcome::Ok);
+        }
+        w.wait(0.9);
+    }
+    let end = w.bound("e1");
+    assert!(start < end && end <= 1.2 * start, "{end} from {start}");
+}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -313,3 +313,18 @@
     assert!(after > 0.0 && after < 5.0);
     assert_eq!(w.event(Event::Timer(token)), [Action::Subscribe]);
 }
+
+/// Readers stood still behind a load, and the news of it was passed over.
+#[test]
+fn a_reader_that_waits_for_a_load_moves_to_an_engine_without_one() {
+    let reader = ClassSettings { yields_to_loads: true, ..class("q", Effect::Repeatable) };
+    let s = Settings { may_cancel: true, ..settings(vec![reader]) };
+    let mut w = World::new(s, &["e1", "e2"]);
+    let first = sent_to(&w.query("r", 0, 100.0));
+    let waits = Event::Noted { id: "r".into(), attempt: 0, note: Note::WaitsForLoad };
+    assert_eq!(w.event(waits.clone()), [Action::Cancel { id: "r".into(), attempt: 0 }]);
+    let second = sent_to(&w.end("r", 0, Outcome::Cancelled));
+    assert_ne!(first, second);
+    let again = Event::Noted { id: "r".into(), attempt: 1, note: Note::WaitsForLoad };
+    assert!(w.event(again).is_empty(), "both engines hold: it waits for the load");
+}
