MySQL front and link on the same core; recorded exchanges against the program

Seen: the second door was missing. Sessions log in by caching_sha2_password, prepared statements are kept by the front and prepared lazily on each engine connection; every execution is a request of the core, with the class, deadline and key that deploy/mysql.toml and hints give it. Errors of a statement itself are its answer; those of an engine are the attempt's end. A keyed request without its key is of a twin class that is never repeated, through either door. The MySQL door has no test of its own yet: that is next.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -17,6 +17,8 @@
 pub struct Work {
     pub class: Arc<str>,
     pub statement: Arc<[u8]>,
+    /// Arguments of a prepared statement.
+    pub arguments: Option<Arc<[u8]>>,
     /// The client's idempotency key.
     pub key: Option<Arc<str>>,
 }
@@ -145,6 +147,8 @@
 /// Everything between the fronts, the links and the decision module.
 pub struct Core {
     gateway: Gateway,
+    /// By class, the one for its requests without a key.
+    keyless: Vec<usize>,
     requests: HashMap<RequestId, Request>,
     open: usize,
     timers: Timers<Alarm>,
@@ -154,8 +158,17 @@
 }
 
 impl Core {
-    pub fn new(settings: Settings, seed: u64) -> Self {
+    pub fn new(mut settings: Settings, seed: u64) -> Self {
+        // A keyed request that came without its key must not be repeated: it is of a twin class that says so.
+        let mut keyless: Vec<usize> = (0..settings.classes.len()).collect();
+        for (at, twin) in keyless.iter_mut().enumerate() {
+            if settings.classes[at].effect == Effect::Keyed {
+                *twin = settings.classes.len();
+                settings.classes.push(ClassSettings { effect: Effect::Once, ..settings.classes[at].clone() });
+            }
+        }
         Self {
+            keyless,
             gateway: Gateway::new(settings, seed),
             requests: HashMap::new(),
             open: 0,
@@ -202,6 +215,7 @@
             self.counters.failed += 1;
             return doors[ask.door].front.answer(now, &ask.id, Answer::Failed);
         }
+        let class = if ask.work.key.is_some() { ask.class } else { self.keyless[ask.class] };
         let request = Request {
             door: ask.door,
             work: ask.work,
@@ -215,7 +229,7 @@
         self.open += 1;
         let query = Query {
             id: ask.id,
-            class: ask.class,
+            class,
             tenant: None,
             key: None,
             left: ask.deadline - now,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -3,11 +3,14 @@
 
 use crate::config::Config;
 use crate::core::{Core, Door};
+use crate::front::mysql::MysqlFront;
 use crate::front::platform::Platform;
 use crate::limits::Limits;
+use crate::link::mysql::MysqlLink;
 use crate::link::resp::Resp;
 use crate::membership::dns::Directory;
 use crate::membership::Member;
+use crate::mysql::config::Mysql;
 use crate::net::{Clock, Poller, Ready, Time, Token};
 use dahliaspoke::interface::{Lifecycle, Scope};
 use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
@@ -20,6 +23,8 @@
 const DIRECTORY: u8 = 1;
 const PLATFORM: u8 = 2;
 const RESP: u8 = 3;
+const MYSQL_FRONT: u8 = 4;
+const MYSQL_LINK: u8 = 5;
 
 /// One byte comes down a pipe for every signal.
 struct Signal {
@@ -36,6 +41,8 @@
     directory: Directory,
     platform: Platform,
     resp: Resp,
+    /// The second door, where the deployment has one.
+    mysql: Option<(MysqlFront, MysqlLink)>,
     /// After SIGTERM: until when new connections are taken.
     farewell: Option<Time>,
 }
@@ -58,8 +65,22 @@
             .map_err(|e| format!("directory {names}: {e}"))?;
         let platform = Platform::new(PLATFORM, 0, listen, classes, poller.clone(), limits.clone())
             .map_err(|e| format!("listen {listen}: {e}"))?;
+        let mysql = match Mysql::from_file(&config.settings)? {
+            None => None,
+            Some(mysql) => {
+                let (listen, mysql) = (mysql.listen, Rc::new(mysql));
+                let (settings, poller) = (&config.settings, poller.clone());
+                let link = MysqlLink::new(MYSQL_LINK, mysql.clone(), poller.clone(), limits.clone());
+                let front = MysqlFront::new(MYSQL_FRONT, 1, mysql, settings, poller, limits.clone())
+                    .map_err(|e| format!("listen {listen}: {e}"))?;
+                let address = front.address().map_err(|e| format!("listen {listen}: {e}"))?;
+                println!("{} speaks MySQL on {address}", config.name);
+                Some((front, link))
+            }
+        };
         let mut daemon = Self {
             clock,
+            mysql,
             resp: Resp::new(RESP, poller.clone(), limits.clone()),
             poller,
             limits,
@@ -103,6 +124,8 @@
             self.directory.next(),
             self.platform.next(),
             self.resp.next(),
+            self.mysql.as_ref().and_then(|(front, _)| front.next()),
+            self.mysql.as_ref().and_then(|(_, link)| link.next()),
             self.farewell.filter(|at| *at > now),
         ];
         parts.into_iter().flatten().fold(f64::INFINITY, f64::min)
@@ -112,8 +135,12 @@
         self.directory.alarm(now);
         self.platform.alarm(now);
         self.resp.alarm(now);
-        let Self { core, platform, resp, .. } = self;
-        core.alarm(now, &mut [Door { front: platform, link: resp }]);
+        if let Some((front, link)) = &mut self.mysql {
+            front.alarm(now);
+            link.alarm(now);
+        }
+        let (core, mut doors) = self.doors();
+        core.alarm(now, &mut doors);
     }
 
     fn ready(&mut self, now: Time, ready: Ready) {
@@ -126,35 +153,55 @@
                 }
             }
             PLATFORM => self.platform.ready(now, ready),
-            _ => self.resp.ready(now, ready),
+            RESP => self.resp.ready(now, ready),
+            part => match &mut self.mysql {
+                Some((front, _)) if part == MYSQL_FRONT => front.ready(now, ready),
+                Some((_, link)) => link.ready(now, ready),
+                None => {}
+            },
         }
     }
 
+    /// The core, and the doors in the order of their numbers.
+    fn doors(&mut self) -> (&mut Core, Vec<Door<'_>>) {
+        let Self { core, platform, resp, mysql, .. } = self;
+        let mut doors = vec![Door { front: platform, link: resp }];
+        doors.extend(mysql.as_mut().map(|(front, link)| Door { front, link }));
+        (core, doors)
+    }
+
     /// Carries what fronts and links have to say to the core, until none has.
     fn carry(&mut self, now: Time) {
-        let Self { core, platform, resp, .. } = self;
         loop {
-            if let Some(wish) = platform.take() {
-                core.wish(now, wish, &mut [Door { front: platform, link: resp }]);
-            } else if let Some(news) = resp.take() {
-                core.news(now, news, &mut [Door { front: platform, link: resp }]);
-            } else {
-                return;
+            let mysql = &mut self.mysql;
+            let wish = self.platform.take().or_else(|| mysql.as_mut().and_then(|(front, _)| front.take()));
+            if let Some(wish) = wish {
+                let (core, mut doors) = self.doors();
+                core.wish(now, wish, &mut doors);
+                continue;
             }
+            let news = self.resp.take().or_else(|| mysql.as_mut().and_then(|(_, link)| link.take()));
+            let Some(news) = news else { return };
+            let (core, mut doors) = self.doors();
+            core.news(now, news, &mut doors);
         }
     }
 
     fn members(&mut self, now: Time, scope: Scope, members: Vec<Member>) {
         for member in &members {
             // One that is gone is no longer in the list, but its attempts may be out.
-            self.resp.engine(now, &member.entry.id, member.entry.lifecycle, member.address);
+            let (id, lifecycle) = (&member.entry.id, member.entry.lifecycle);
+            self.resp.engine(now, id, lifecycle, member.address);
+            if let Some((_, link)) = &mut self.mysql {
+                link.engine(now, id, lifecycle, member.address.map(|a| a.ip()));
+            }
             if member.entry.lifecycle != Lifecycle::Ready {
                 println!("{now:.3} engine {} is {:?}", member.entry.id, member.entry.lifecycle);
             }
         }
         let entries = members.into_iter().map(|m| m.entry).collect();
-        let Self { core, platform, resp, .. } = self;
-        core.engines(now, scope, entries, &mut [Door { front: platform, link: resp }]);
+        let (core, mut doors) = self.doors();
+        core.engines(now, scope, entries, &mut doors);
     }
 
     fn signal(&mut self, now: Time, place: usize) {
@@ -174,12 +221,18 @@
         if self.farewell.is_none_or(|at| now < at) {
             return false;
         }
-        self.platform.listen(false);
-        self.core.open() == 0 && self.platform.idle()
+        self.platform.stop();
+        let mut idle = self.platform.idle();
+        if let Some((front, _)) = &mut self.mysql {
+            front.stop();
+            idle &= front.idle();
+        }
+        idle && self.core.open() == 0
     }
 
     fn counters(&mut self) -> String {
-        self.core.counters.bad = self.platform.bad();
+        let mysql = self.mysql.as_ref().map_or(0, |(front, _)| front.bad());
+        self.core.counters.bad = self.platform.bad() + mysql;
         format!("counters {} lists_bad={}", self.core.counters, self.directory.bad)
     }
 }
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -1,21 +1,19 @@
 //! The platform's front: HTTP/1.1 calls in, JSON answers out.
 
 mod http;
-mod sql;
 
+use super::sql;
 use crate::core::{Answer, Ask, Front, Parts, Wish, Work};
 use crate::limits::Limits;
-use crate::net::{Channel, Connection, Flow, Poller, Ready, Table, Time, Timers, Token};
+use crate::net::{Channel, Connection, Flow, Listener, Poller, Ready, Table, Time, Timers, Token};
 use dahliaspoke::interface::RequestId;
 use http::{Bad, Call, Read};
 use std::collections::{HashMap, VecDeque};
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
-const LISTENER: u32 = u32::MAX;
-
 /// What all client connections have in common.
 struct Shared {
     limits: Rc<Limits>,
@@ -42,10 +40,7 @@
 
 /// The listener and the clients' connections.
 pub struct Platform {
-    part: u8,
-    listener: TcpListener,
-    listening: bool,
-    poller: Rc<Poller>,
+    listener: Listener,
     table: Table<Client>,
     shared: Shared,
 }
@@ -59,23 +54,18 @@
         poller: Rc<Poller>,
         limits: Rc<Limits>,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(listen)?;
-        listener.set_nonblocking(true)?;
-        poller.add(&listener, Token::new(part, LISTENER, 0), false)?;
+        let listener = Listener::bind(part, listen, poller.clone())?;
         let (wishes, open) = (VecDeque::new(), HashMap::new());
         Ok(Self {
-            part,
             listener,
-            listening: true,
-            table: Table::new(part, poller.clone()),
-            poller,
+            table: Table::new(part, poller),
             shared: Shared { limits, door, classes, wishes, open, timers: Timers::default(), bad: 0 },
         })
     }
 
     /// Where it listens.
     pub fn address(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
+        self.listener.address()
     }
 
     pub fn take(&mut self) -> Option<Wish> {
@@ -92,12 +82,12 @@
     }
 
     pub fn ready(&mut self, now: Time, ready: Ready) {
-        if ready.token.place == LISTENER {
+        if ready.token.place == Listener::PLACE {
             self.accept(now);
         } else {
             self.table.ready(now, ready, &mut self.shared);
         }
-        self.listen(self.listening);
+        self.make_room();
     }
 
     /// Closes the connections whose time is up.
@@ -112,27 +102,27 @@
                 self.shared.timers.set(again, token);
             }
         }
-        self.listen(self.listening);
+        self.make_room();
+    }
+
+    /// Takes no new connections from here on.
+    pub fn stop(&mut self) {
+        self.listener.stop();
+        self.make_room();
     }
 
-    /// Takes new connections, or no more.
-    pub fn listen(&mut self, listening: bool) {
-        self.listening = listening;
-        let room = listening && self.table.len() < self.shared.limits.clients;
-        // A change that the kernel refuses leaves things as they were: connections wait in its line.
-        let _ = self.poller.change(&self.listener, Token::new(self.part, LISTENER, 0), room, false);
+    fn make_room(&mut self) {
+        self.listener.room(self.table.len() < self.shared.limits.clients);
     }
 
     /// Whether every answer is out.
     pub fn idle(&mut self) -> bool {
-        let tokens = self.table.tokens();
-        tokens.into_iter().all(|t| self.table.get(t).is_none_or(|c| c.channel.queued() == 0))
+        self.table.is_flushed()
     }
 
     fn accept(&mut self, now: Time) {
         while self.table.len() < self.shared.limits.clients {
-            let Ok((stream, _)) = self.listener.accept() else { return };
-            let Ok(channel) = Channel::accepted(stream) else { continue };
+            let Some(channel) = self.listener.accept() else { return };
             let until = now + self.shared.limits.client_idle;
             let client = |token| Client { channel, token, open: None, stays: true, continued: false, until };
             let Ok(token) = self.table.add(client) else { continue };
@@ -282,6 +272,7 @@
         work: Work {
             class: shared.classes[class].clone(),
             statement: statement.as_bytes().into(),
+            arguments: None,
             key: key.map(Arc::from),
         },
     })
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -20,6 +20,18 @@
     pub linger: f64,
     /// Answer bytes that one client may leave unread.
     pub unread: usize,
+    /// MySQL sessions held at once.
+    pub sessions: usize,
+    /// A MySQL session without an open request is closed after this.
+    pub session_idle: f64,
+    /// Prepared statements of one session, and of one connection to an engine.
+    pub statements: usize,
+    /// Packets of one MySQL result.
+    pub rows: usize,
+    /// Bytes of one MySQL result.
+    pub table: usize,
+    /// An answer so near its deadline came because of it.
+    pub late: f64,
     /// Rows of one result.
     pub result: usize,
     /// Rows of one page.
@@ -34,6 +46,8 @@
     pub streams: usize,
     /// Connections to one engine.
     pub pool: usize,
+    /// MySQL connections to one engine.
+    pub engine_sessions: usize,
     /// An engine connection that is not up by then counts as refused.
     pub connect: f64,
     /// An engine connection without attempts is closed after this, before the engine does.
@@ -53,6 +67,8 @@
 
 /// Share of the descriptors that clients may hold.
 const CLIENT_SHARE: f64 = 0.5;
+/// The same for MySQL sessions.
+const SESSION_SHARE: f64 = 0.1;
 /// Share of the engines' idle limit after which the daemon closes first: a send must not cross their close.
 const IDLE_SHARE: f64 = 0.8;
 /// Taken off the drain grace for a slow turn of the loop.
@@ -74,6 +90,12 @@
             client_idle: 60.0,
             linger: 1.0,
             unread: 256 << 10,
+            sessions: (sockets * SESSION_SHARE) as usize,
+            session_idle: 28_800.0,
+            statements: 256,
+            rows: 65_536,
+            table: 1 << 20,
+            late: 0.05,
             result: 48_000,
             page: 6_000,
             pages: 64,
@@ -81,6 +103,7 @@
             unwritten: 1 << 20,
             streams: num(held, "streamsPerConn", 100.0)?.max(1.0) as usize,
             pool: 16,
+            engine_sessions: 64,
             connect: num(held, "connectTimeout", 0.25)?,
             engine_idle: num(held, "connIdle", 15.0)? * IDLE_SHARE,
             echo: 30.0,
--- /dev/null
+++ b/src/link/mysql/mod.rs
@@ -0,0 +1,464 @@
+//! Attempts over MySQL: one at a time on a connection. A prepared statement is prepared on each connection
+//! when it first runs there, so an execution can go to any engine.
+
+use super::Engines;
+use crate::core::{Call, Ending, Link, News};
+use crate::limits::Limits;
+use crate::mysql::auth;
+use crate::mysql::config::Mysql;
+use crate::mysql::packet::{self, capability, command, Malformed, Reader, Res};
+use crate::net::{Channel, Connection, Flow, Poller, Ready, Table, Time, Timers, Token};
+use dahliaspoke::interface::{EngineId, Lifecycle, RequestId};
+use std::collections::{HashMap, VecDeque};
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+enum Alarm {
+    /// A connection must be ready by now, or has been idle.
+    Connection(Token),
+    /// Nothing may begin to go to this engine any more.
+    Drained(EngineId),
+}
+
+/// What all connections to engines have in common.
+struct Shared {
+    limits: Rc<Limits>,
+    config: Rc<Mysql>,
+    news: VecDeque<News>,
+    timers: Timers<Alarm>,
+}
+
+/// Where a connection stands.
+enum Stage {
+    /// It connects, or the engine's greeting is due.
+    Greeting,
+    /// The engine's word on who we are is due.
+    Login { plugin: String, challenge: Vec<u8> },
+    /// Nothing is asked.
+    Idle,
+    /// The answer to a PREPARE is due: its first packet, then so many that define parameters and columns.
+    Preparing { statement: Option<u32>, skip: usize },
+    /// The result is due.
+    Running(Answer),
+}
+
+/// A result as far as it has come.
+#[derive(Default)]
+struct Answer {
+    packets: Vec<Vec<u8>>,
+    size: usize,
+    /// EOF packets so far: one ends the columns, the next the rows.
+    ends: u8,
+}
+
+/// The attempt on a connection.
+struct Running {
+    id: RequestId,
+    attempt: u32,
+    statement: Arc<[u8]>,
+    arguments: Option<Arc<[u8]>>,
+    /// By which what runs it can be taken back; none while the connection is not ready for it.
+    tag: Option<u64>,
+}
+
+/// A connection to an engine.
+struct Line {
+    channel: Channel,
+    token: Token,
+    stage: Stage,
+    running: Option<Running>,
+    /// Statements that are prepared here, the latest last.
+    prepared: VecDeque<(Arc<[u8]>, u32)>,
+    /// When it must be ready, or has been idle too long.
+    until: Time,
+}
+
+/// The connections to all engines.
+pub struct MysqlLink {
+    table: Table<Line>,
+    engines: Engines,
+    calls: HashMap<(RequestId, u32), Token>,
+    shared: Shared,
+}
+
+impl MysqlLink {
+    pub fn new(part: u8, config: Rc<Mysql>, poller: Rc<Poller>, limits: Rc<Limits>) -> Self {
+        let shared = Shared { limits, config, news: VecDeque::new(), timers: Timers::default() };
+        let (table, engines) = (Table::new(part, poller), Engines::default());
+        Self { table, engines, calls: HashMap::new(), shared }
+    }
+
+    pub fn take(&mut self) -> Option<News> {
+        let news = self.shared.news.pop_front()?;
+        if let News::Ended { id, attempt, .. } = &news {
+            self.calls.remove(&(id.clone(), *attempt));
+        }
+        Some(news)
+    }
+
+    pub fn next(&self) -> Option<Time> {
+        self.shared.timers.next()
+    }
+
+    pub fn ready(&mut self, now: Time, ready: Ready) {
+        self.table.ready(now, ready, &mut self.shared);
+    }
+
+    /// Follows the list of engines.
+    pub fn engine(&mut self, now: Time, id: &EngineId, lifecycle: Lifecycle, told: Option<IpAddr>) {
+        let address = self.shared.config.engine.address(id, told);
+        let closes = now + self.shared.limits.drain_grace;
+        if let Some(closes) = self.engines.follow(id, lifecycle, address, closes) {
+            self.shared.timers.set(closes, Alarm::Drained(id.clone()));
+        }
+    }
+
+    pub fn alarm(&mut self, now: Time) {
+        while let Some(alarm) = self.shared.timers.due(now) {
+            match alarm {
+                Alarm::Connection(token) => self.line_alarm(now, token),
+                Alarm::Drained(id) => self.drained(now, &id),
+            }
+        }
+    }
+
+    fn line_alarm(&mut self, now: Time, token: Token) {
+        let Some(line) = self.table.get(token) else { return };
+        let waits = line.running.is_none() || matches!(line.stage, Stage::Greeting | Stage::Login { .. });
+        if waits && line.until <= now {
+            self.table.close(now, token, &mut self.shared);
+        } else {
+            let again = line.until.max(now + self.shared.limits.connect);
+            self.shared.timers.set(again, Alarm::Connection(token));
+        }
+    }
+
+    /// The grace of a drain has passed: what still waits for a connection must not begin there.
+    fn drained(&mut self, now: Time, id: &EngineId) {
+        let Some(engine) = self.engines.get_mut(id).filter(|e| e.is_closed(now)) else { return };
+        engine.lines.retain(|token| self.table.get(*token).is_some());
+        for token in engine.lines.clone() {
+            let Some(line) = self.table.get(token) else { continue };
+            // Idle ones go as well: sessions have moved on.
+            if line.running.is_none() || line.is_unsent() {
+                self.table.close(now, token, &mut self.shared);
+            }
+        }
+        if !self.engines.forget(now, id) {
+            self.shared.timers.set(now + self.shared.limits.engine_idle, Alarm::Drained(id.clone()));
+        }
+    }
+
+    /// An idle connection to the engine, one that has the statement first, or a new one.
+    fn line_for(&mut self, now: Time, call: &Call) -> Option<Token> {
+        let limits = self.shared.limits.clone();
+        let engine = self.engines.get_mut(&call.engine).filter(|e| !e.is_closed(now))?;
+        let table = &mut self.table;
+        engine.lines.retain(|token| table.get(*token).is_some());
+        let mut best = None;
+        for token in &engine.lines {
+            let Some(line) = table.get(*token).filter(|line| matches!(line.stage, Stage::Idle)) else {
+                continue;
+            };
+            if line.statement(&call.work.statement).is_some() {
+                return Some(*token);
+            }
+            best = best.or(Some(*token));
+        }
+        if best.is_some() {
+            return best;
+        }
+        if engine.lines.len() >= limits.engine_sessions {
+            return None;
+        }
+        let channel = Channel::connect(engine.address).ok()?;
+        let until = now + limits.connect;
+        let line = |token| Line {
+            channel,
+            token,
+            stage: Stage::Greeting,
+            running: None,
+            prepared: VecDeque::new(),
+            until,
+        };
+        let token = table.add(line).ok()?;
+        self.shared.timers.set(until, Alarm::Connection(token));
+        engine.lines.push(token);
+        Some(token)
+    }
+}
+
+impl Link for MysqlLink {
+    fn start(&mut self, now: Time, call: Call) {
+        let token = self.line_for(now, &call);
+        let Some(line) = token.and_then(|t| self.table.get(t)) else {
+            let (id, attempt, ending, report) = (call.id, call.attempt, Ending::NotSent, None);
+            return self.shared.news.push_back(News::Ended { id, attempt, ending, report });
+        };
+        let token = line.token;
+        let (statement, arguments) = (call.work.statement, call.work.arguments);
+        let (id, attempt, tag) = (call.id.clone(), call.attempt, None);
+        line.running = Some(Running { id, attempt, statement, arguments, tag });
+        if matches!(line.stage, Stage::Idle) {
+            line.begin(&self.shared.limits);
+        }
+        self.calls.insert((call.id, call.attempt), token);
+        self.table.settle(now, token, Flow::Open, &mut self.shared);
+    }
+
+    /// MySQL has no way to call a statement off on its own connection: the connection ends with it.
+    fn drop_call(&mut self, now: Time, id: &RequestId, attempt: u32) -> bool {
+        let Some(token) = self.calls.remove(&(id.clone(), attempt)) else { return false };
+        let Some(line) = self.table.get(token) else { return false };
+        if line.running.as_ref().is_none_or(|run| run.id != *id || run.attempt != attempt) {
+            return false;
+        }
+        let unsent = line.is_unsent();
+        line.running = None;
+        self.table.close(now, token, &mut self.shared);
+        unsent
+    }
+
+    /// The protocol has no priorities.
+    fn rank(&mut self, _: Time, _: &RequestId, _: u32, _: u8) {}
+}
+
+impl Connection for Line {
+    type Shared = Shared;
+
+    fn channel(&mut self) -> &mut Channel {
+        &mut self.channel
+    }
+
+    fn readable(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        loop {
+            let (sequence, payload) = match packet::read(&self.channel.input, shared.limits.table) {
+                Ok(None) => return Flow::Open,
+                Ok(Some((sequence, payload, length))) => {
+                    let payload = payload.to_vec();
+                    self.channel.input.drain(..length);
+                    (sequence, payload)
+                }
+                Err(Malformed) => return Flow::Close,
+            };
+            if self.packet(now, sequence, payload, shared).is_err() {
+                return Flow::Close;
+            }
+        }
+    }
+
+    fn writable(&mut self, _: Time, _: &mut Shared) -> Flow {
+        Flow::Open
+    }
+
+    /// What was not begun never ran; the rest may have.
+    fn closed(&mut self, _: Time, shared: &mut Shared) {
+        let unsent = self.is_unsent();
+        if let Some(run) = self.running.take() {
+            let ending = if unsent { Ending::NotSent } else { Ending::Broken };
+            shared.news.push_back(News::Ended { id: run.id, attempt: run.attempt, ending, report: None });
+        }
+    }
+}
+
+impl Line {
+    /// Whether no byte of what would run the attempt has gone out. A PREPARE runs nothing.
+    fn is_unsent(&mut self) -> bool {
+        let Some(run) = &self.running else { return false };
+        run.tag.is_none_or(|tag| self.channel.take_back(tag))
+    }
+
+    fn statement(&self, text: &Arc<[u8]>) -> Option<u32> {
+        self.prepared.iter().find(|(known, _)| known == text).map(|(_, id)| *id)
+    }
+
+    fn send(&mut self, command: u8, parts: &[&[u8]]) -> u64 {
+        let payload = [&[command], parts.concat().as_slice()].concat();
+        self.channel.push(packet::packet(0, &payload))
+    }
+
+    /// Sends the attempt, or first what prepares its statement.
+    fn begin(&mut self, limits: &Limits) {
+        let Some(run) = &self.running else { return };
+        let (statement, arguments) = (run.statement.clone(), run.arguments.clone());
+        let tag = match arguments {
+            None => Some(self.send(command::QUERY, &[&statement])),
+            Some(arguments) => match self.statement(&statement) {
+                Some(id) => {
+                    let (id, one) = (id.to_le_bytes(), 1u32.to_le_bytes());
+                    Some(self.send(command::EXECUTE, &[&id, &[0], &one, &arguments]))
+                }
+                None => {
+                    if self.prepared.len() >= limits.statements {
+                        if let Some((_, oldest)) = self.prepared.pop_front() {
+                            self.send(command::CLOSE, &[&oldest.to_le_bytes()]);
+                        }
+                    }
+                    self.send(command::PREPARE, &[&statement]);
+                    None
+                }
+            },
+        };
+        self.stage = match tag {
+            None => Stage::Preparing { statement: None, skip: 0 },
+            Some(_) => Stage::Running(Answer::default()),
+        };
+        if let Some(run) = &mut self.running {
+            run.tag = tag;
+        }
+    }
+
+    fn packet(&mut self, now: Time, sequence: u8, payload: Vec<u8>, shared: &mut Shared) -> Res<()> {
+        match &mut self.stage {
+            Stage::Greeting => self.greeting(&payload, shared),
+            Stage::Login { .. } => self.login(now, sequence, &payload, shared),
+            Stage::Idle => Err(Malformed),
+            Stage::Preparing { .. } => self.preparing(now, payload, shared),
+            Stage::Running(answer) => {
+                answer.size += payload.len();
+                answer.ends += u8::from(packet::is_eof(&payload));
+                let first = answer.packets.is_empty();
+                let kind = payload.first().copied().ok_or(Malformed)?;
+                // A word alone, or the end of the rows, ends it; so does an error at any place.
+                let over = kind == packet::ERR || first && kind == packet::OK || answer.ends == 2;
+                if over && more_follows(&payload) {
+                    return Err(Malformed); // a second result: none was asked for
+                }
+                answer.packets.push(payload);
+                if answer.packets.len() > shared.limits.rows || answer.size > shared.limits.table {
+                    return Err(Malformed);
+                }
+                if over {
+                    let packets = std::mem::take(&mut answer.packets);
+                    self.end(now, packets, shared)?;
+                }
+                Ok(())
+            }
+        }
+    }
+
+    /// Answers the engine's greeting.
+    fn greeting(&mut self, payload: &[u8], shared: &Shared) -> Res<()> {
+        let mut reader = Reader(payload);
+        if reader.number(1)? != 10 {
+            return Err(Malformed); // an error such as "too many connections", or another protocol
+        }
+        reader.text()?;
+        reader.take(4)?;
+        let mut challenge = reader.take(8)?.to_vec();
+        reader.take(1 + 2 + 1 + 2 + 2 + 1 + 10)?;
+        challenge.extend_from_slice(reader.take(auth::CHALLENGE - 8)?);
+        reader.take(1)?;
+        let plugin = reader.text().unwrap_or(auth::NATIVE).to_string();
+        let engine = &shared.config.engine;
+        let (name, answer) = match auth::answer(&plugin, &engine.password, &challenge) {
+            Some(answer) => (plugin, answer),
+            None => (auth::CACHING_SHA2.to_string(), Vec::new()), // the engine asks to switch then
+        };
+        let mut out = capability::OURS.to_le_bytes().to_vec();
+        out.extend_from_slice(&(packet::SPLIT as u32).to_le_bytes());
+        out.push(packet::CHARSET);
+        out.extend_from_slice(&[0; 23]);
+        out.extend_from_slice(engine.user.as_bytes());
+        out.extend_from_slice(&[0, answer.len() as u8]);
+        out.extend_from_slice(&answer);
+        out.extend_from_slice(name.as_bytes());
+        out.push(0);
+        self.channel.push(packet::packet(1, &out));
+        self.stage = Stage::Login { plugin: name, challenge };
+        Ok(())
+    }
+
+    fn login(&mut self, now: Time, sequence: u8, payload: &[u8], shared: &mut Shared) -> Res<()> {
+        let Stage::Login { plugin, challenge } = &mut self.stage else { return Err(Malformed) };
+        match payload {
+            [packet::OK, ..] => {
+                self.stage = Stage::Idle;
+                self.until = now + shared.limits.engine_idle;
+                self.begin(&shared.limits);
+                Ok(())
+            }
+            // The engine knows the password already; its OK follows.
+            [packet::MORE, 3] => Ok(()),
+            [packet::EOF, rest @ ..] => {
+                let mut reader = Reader(rest);
+                *plugin = reader.text()?.to_string();
+                *challenge = reader.0.to_vec();
+                let answer =
+                    auth::answer(plugin, &shared.config.engine.password, challenge).ok_or(Malformed)?;
+                self.channel.push(packet::packet(sequence.wrapping_add(1), &answer));
+                Ok(())
+            }
+            // Denied, or the password is wanted as it is, which needs TLS.
+            _ => Err(Malformed),
+        }
+    }
+
+    fn preparing(&mut self, now: Time, payload: Vec<u8>, shared: &mut Shared) -> Res<()> {
+        let Stage::Preparing { statement, skip } = &mut self.stage else { return Err(Malformed) };
+        if statement.is_none() {
+            if payload.first() == Some(&packet::ERR) {
+                return self.end(now, vec![payload], shared);
+            }
+            let mut reader = Reader(&payload);
+            if reader.number(1)? as u8 != packet::OK {
+                return Err(Malformed);
+            }
+            *statement = Some(reader.number(4)? as u32);
+            let (columns, parameters) = (reader.number(2)? as usize, reader.number(2)? as usize);
+            let block = |count: usize| if count > 0 { count + 1 } else { 0 };
+            *skip = block(columns) + block(parameters);
+        } else {
+            *skip = skip.checked_sub(1).ok_or(Malformed)?;
+        }
+        if let (Some(id), 0) = (*statement, *skip) {
+            if let Some(run) = &self.running {
+                self.prepared.push_back((run.statement.clone(), id));
+            }
+            self.begin(&shared.limits);
+        }
+        Ok(())
+    }
+
+    /// The attempt has its answer, and the connection is free.
+    fn end(&mut self, now: Time, packets: Vec<Vec<u8>>, shared: &mut Shared) -> Res<()> {
+        self.stage = Stage::Idle;
+        self.until = now + shared.limits.engine_idle;
+        let run = self.running.take().ok_or(Malformed)?;
+        let ending = ending(packets)?;
+        shared.news.push_back(News::Ended { id: run.id, attempt: run.attempt, ending, report: None });
+        Ok(())
+    }
+}
+
+/// What an engine's answer says of the attempt. Errors of the statement itself are its answer: another
+/// engine would say the same.
+fn ending(packets: Vec<Vec<u8>>) -> Res<Ending> {
+    let last = packets.last().ok_or(Malformed)?;
+    if last.first() != Some(&packet::ERR) {
+        return Ok(Ending::Served(packets));
+    }
+    Ok(match packet::error_number(last)? {
+        // Too many connections, of one user too; shutting down: turned away unseen.
+        1040 | 1053 | 1203 | 1226 => Ending::Full,
+        // Locks, kills, limits of time and space, a statement that was forgotten: of that engine, at that time.
+        1021 | 1037 | 1041 | 1105 | 1114 | 1180 | 1205 | 1213 | 1243 | 1290 | 1317 | 1836 | 3024 => {
+            Ending::Error
+        }
+        _ => Ending::Served(packets),
+    })
+}
+
+/// Whether the status in an OK or EOF packet announces another result.
+fn more_follows(payload: &[u8]) -> bool {
+    let mut reader = Reader(payload);
+    let status = match reader.number(1) {
+        Ok(kind) if kind as u8 == packet::OK => {
+            reader.length().and_then(|_| reader.length()).and_then(|_| reader.number(2))
+        }
+        Ok(kind) if kind as u8 == packet::EOF => reader.take(2).and_then(|_| reader.number(2)),
+        _ => Ok(0),
+    };
+    status.is_ok_and(|status| status as u16 & packet::MORE_RESULTS != 0)
+}
--- a/src/link/resp/mod.rs
+++ b/src/link/resp/mod.rs
@@ -3,6 +3,7 @@
 
 mod frame;
 
+use super::Engines;
 use crate::core::{Call, Ending, Link, News};
 use crate::limits::Limits;
 use crate::net::{Channel, Connection, Flow, Poller, Ready, Table, Time, Timers, Token};
@@ -48,17 +49,10 @@
     until: Time,
 }
 
-struct Engine {
-    address: SocketAddr,
-    /// Nothing may begin to go there after this.
-    closes: Option<Time>,
-    lines: Vec<Token>,
-}
-
 /// The connections to all engines.
 pub struct Resp {
     table: Table<Line>,
-    engines: HashMap<EngineId, Engine>,
+    engines: Engines,
     /// The connection of every attempt that is out.
     calls: HashMap<(RequestId, u32), Token>,
     shared: Shared,
@@ -67,7 +61,7 @@
 impl Resp {
     pub fn new(part: u8, poller: Rc<Poller>, limits: Rc<Limits>) -> Self {
         let shared = Shared { limits, news: VecDeque::new(), timers: Timers::default() };
-        Self { table: Table::new(part, poller), engines: HashMap::new(), calls: HashMap::new(), shared }
+        Self { table: Table::new(part, poller), engines: Engines::default(), calls: HashMap::new(), shared }
     }
 
     pub fn take(&mut self) -> Option<News> {
@@ -89,15 +83,7 @@
     /// Follows the list of engines. `address` is absent where the list does not tell it.
     pub fn engine(&mut self, now: Time, id: &EngineId, lifecycle: Lifecycle, address: Option<SocketAddr>) {
         let closes = now + self.shared.limits.drain_grace;
-        if let Some(address) = address {
-            let fresh = || Engine { address, closes: None, lines: Vec::new() };
-            self.engines.entry(id.clone()).or_insert_with(fresh).address = address;
-        }
-        let Some(engine) = self.engines.get_mut(id) else { return };
-        if lifecycle == Lifecycle::Ready {
-            engine.closes = None;
-        } else if engine.closes.is_none() {
-            engine.closes = Some(closes);
+        if let Some(closes) = self.engines.follow(id, lifecycle, address, closes) {
             self.shared.timers.set(closes, Alarm::Drained(id.clone()));
         }
     }
@@ -126,7 +112,7 @@
     /// The grace of a drain has passed. A request whose first byte is still here must not go out: the rule
     /// counts a send from its first byte. It never ran.
     fn drained(&mut self, now: Time, id: &EngineId) {
-        let Some(engine) = self.engines.get(id).filter(|e| e.closes.is_some_and(|at| at <= now)) else {
+        let Some(engine) = self.engines.get(id).filter(|e| e.is_closed(now)) else {
             return;
         };
         for token in &engine.lines {
@@ -140,13 +126,16 @@
                 !unsent
             });
         }
+        if !self.engines.forget(now, id) {
+            self.shared.timers.set(now + self.shared.limits.engine_idle, Alarm::Drained(id.clone()));
+        }
     }
 
     /// A connection to the engine with room for the call, or a new one.
     fn line_for(&mut self, now: Time, call: &Call) -> Option<Token> {
         let limits = self.shared.limits.clone();
         let engine = self.engines.get_mut(&call.engine)?;
-        if engine.closes.is_some_and(|at| at <= now) {
+        if engine.is_closed(now) {
             return None;
         }
         let table = &mut self.table;
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod link;
 mod membership;
+mod mysql;
 mod net;
 
 use std::process::ExitCode;
--- /dev/null
+++ b/src/mysql/auth.rs
@@ -0,0 +1,55 @@
+//! Authentication: what a password becomes on the wire.
+
+use sha1::Sha1;
+use sha2::{Digest, Sha256};
+
+/// The plugin that the front asks for, and usual clients begin with.
+pub const CACHING_SHA2: &str = "caching_sha2_password";
+/// The older one that an engine may ask for.
+pub const NATIVE: &str = "mysql_native_password";
+
+/// Bytes of a challenge.
+pub const CHALLENGE: usize = 20;
+
+fn xor(left: &[u8], right: &[u8]) -> Vec<u8> {
+    left.iter().zip(right).map(|(l, r)| l ^ r).collect()
+}
+
+fn sha256(parts: &[&[u8]]) -> Vec<u8> {
+    parts.iter().fold(Sha256::new(), |hash, part| hash.chain_update(part)).finalize().to_vec()
+}
+
+fn sha1(parts: &[&[u8]]) -> Vec<u8> {
+    parts.iter().fold(Sha1::new(), |hash, part| hash.chain_update(part)).finalize().to_vec()
+}
+
+/// The answer to a challenge, as a client gives it; `None` for a plugin that is not spoken here.
+pub fn answer(plugin: &str, password: &str, challenge: &[u8]) -> Option<Vec<u8>> {
+    if password.is_empty() {
+        return Some(Vec::new());
+    }
+    let challenge = &challenge[..challenge.len().min(CHALLENGE)];
+    match plugin {
+        CACHING_SHA2 => {
+            let once = sha256(&[password.as_bytes()]);
+            let twice = sha256(&[&once]);
+            Some(xor(&once, &sha256(&[&twice, challenge])))
+        }
+        NATIVE => {
+            let once = sha1(&[password.as_bytes()]);
+            let twice = sha1(&[&once]);
+            Some(xor(&once, &sha1(&[challenge, &twice])))
+        }
+        _ => None,
+    }
+}
+
+/// Whether an answer to a challenge shows the password whose double SHA-256 is `stored`; an empty `stored`
+/// stands for no password.
+pub fn is_right(stored: &[u8], challenge: &[u8], answer: &[u8]) -> bool {
+    if stored.is_empty() || answer.is_empty() {
+        return stored.is_empty() && answer.is_empty();
+    }
+    let once = xor(answer, &sha256(&[stored, challenge]));
+    answer.len() == stored.len() && sha256(&[&once]) == stored
+}
--- /dev/null
+++ b/src/net/listener.rs
@@ -0,0 +1,59 @@
+//! A listening socket that takes connections only while there is room.
+
+use super::{Channel, Poller, Token};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+
+pub struct Listener {
+    socket: TcpListener,
+    token: Token,
+    poller: Rc<Poller>,
+    wanted: bool,
+    armed: bool,
+}
+
+impl Listener {
+    /// The place in a listener's token, which no connection has.
+    pub const PLACE: u32 = u32::MAX;
+
+    pub fn bind(part: u8, address: SocketAddr, poller: Rc<Poller>) -> io::Result<Self> {
+        let socket = TcpListener::bind(address)?;
+        socket.set_nonblocking(true)?;
+        let token = Token::new(part, Self::PLACE, 0);
+        poller.add(&socket, token, false)?;
+        Ok(Self { socket, token, poller, wanted: true, armed: true })
+    }
+
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// The next connection that waits, if there is one.
+    pub fn accept(&self) -> Option<Channel> {
+        loop {
+            match self.socket.accept() {
+                Ok((stream, _)) => match Channel::accepted(stream) {
+                    Ok(channel) => return Some(channel),
+                    Err(_) => continue, // it broke before it was taken
+                },
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => continue,
+                Err(_) => return None,
+            }
+        }
+    }
+
+    /// No new connections from here on.
+    pub fn stop(&mut self) {
+        self.wanted = false;
+    }
+
+    /// While there is no room, connections wait in the kernel's line, and epoll does not tell of them.
+    pub fn room(&mut self, room: bool) {
+        let arm = self.wanted && room;
+        // A change that the kernel refuses is asked for again at the next turn.
+        if arm != self.armed && self.poller.change(&self.socket, self.token, arm, false).is_ok() {
+            self.armed = arm;
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,12 +2,14 @@
 
 mod channel;
 mod clock;
+mod listener;
 mod poller;
 mod table;
 mod timers;
 
 pub use channel::Channel;
 pub use clock::{Clock, Time};
+pub use listener::Listener;
 pub use poller::{Poller, Ready, Token};
 pub use table::{Connection, Flow, Table};
 pub use timers::Timers;
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -86,12 +86,10 @@
         self.open(token).map(|open| &mut open.connection)
     }
 
-    /// Tokens of all that are open.
-    pub fn tokens(&self) -> Vec<Token> {
-        let token = |(at, slot): (usize, &Slot<C>)| {
-            slot.open.as_ref().map(|_| Token::new(self.part, at as u32, slot.turn))
-        };
-        self.slots.iter().enumerate().filter_map(token).collect()
+    /// Whether all that was queued has gone out.
+    pub fn is_flushed(&mut self) -> bool {
+        let mut open = self.slots.iter_mut().filter_map(|slot| slot.open.as_mut());
+        open.all(|open| open.connection.channel().queued() == 0)
     }
 
     /// Runs the callbacks that a ready descriptor calls for.
--- /dev/null
+++ b/tests/daemon/mod.rs
@@ -0,0 +1,128 @@
+//! The program as a child process, with a configuration that names stand-ins on loopback.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::Duration;
+
+/// Far beyond what anything here takes: only a failure waits so long.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+pub const SETTINGS: &str = r#"{"classes":[
+ {"name":"lookup","effect":"repeatable","group":"all","objective":0.6,"aimStretch":1.5,"giveUp":3,"importance":1},
+ {"name":"load","effect":"by_key","group":"all","memorySpan":20,"objective":3,"aimStretch":3,"giveUp":20,"importance":20}],
+ "familyInfo":{"classThreads":[1,2],"loads":[false,true],"yieldsToLoads":[true,false],"grantsCount":true,
+  "lanesCount":true,"sizeCores":[8],"sizeMb":[16384]},
+ "flavors":["std"],"fleetSize":1,"granularity":0.005,"locality":"hall-a","zones":["hall-a"],
+ "limits":{"cancel":true,"connIdle":15,"connectTimeout":0.25,"maxRetryAfter":0.5,"parallelTries":true,
+  "retryAfter":true,"streamsPerConn":100,"tryLimit":4},"report":{"columns":["q","busy"],"via":"piggyback"},
+ "rules":{"drainGrace":1,"cold":15,"coldShare":0.33,"fallMultiple":3,"overloadFor":3}}"#;
+
+/// An engine's listener and the id it goes by.
+pub struct Named {
+    pub id: String,
+    pub listener: TcpListener,
+}
+
+impl Named {
+    pub fn new(id: &str) -> Self {
+        Self { id: id.into(), listener: TcpListener::bind("127.0.0.1:0").expect("a port") }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("bound")
+    }
+}
+
+pub struct Daemon {
+    pub child: Child,
+    pub lines: Receiver<String>,
+    pub http: Option<SocketAddr>,
+    pub mysql: Option<SocketAddr>,
+    folder: PathBuf,
+}
+
+/// A configuration that knows these engines.
+pub fn config(engines: &[(&str, SocketAddr)], names: SocketAddr) -> String {
+    let server = |(id, address): &(&str, SocketAddr)| {
+        format!(
+            r#"{{"id":"{id}","addr":"{address}","zone":"hall-a","kind":"std","cell":0,"state":"active"}}"#
+        )
+    };
+    let servers = engines.iter().map(server).collect::<Vec<_>>().join(",");
+    format!(
+        r#"{{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"sockets":256}},"names":"{names}",
+        "known":{{"n":1,"events":[{{"n":1,"members":{{"full":true,"servers":[{servers}]}}}}]}},"settings":{SETTINGS}}}"#
+    )
+}
+
+impl Daemon {
+    /// Starts the program; `mysql` is the text of its `deploy/mysql.toml`.
+    pub fn start(config: &str, mysql: Option<&str>) -> Self {
+        // A folder of its own: the thread's and the process's numbers name it.
+        let name = format!("dahliaspoke-{}-{:?}", std::process::id(), std::thread::current().id());
+        let folder = std::env::temp_dir().join(name.replace(['(', ')'], ""));
+        std::fs::create_dir_all(folder.join("deploy")).expect("a folder");
+        std::fs::write(folder.join("config.json"), config).expect("written");
+        if let Some(text) = mysql {
+            std::fs::write(folder.join("deploy/mysql.toml"), text).expect("written");
+        }
+        let mut child = Command::new(env!("CARGO_BIN_EXE_dahliaspoke"))
+            .current_dir(&folder)
+            .env("NODE_CONFIG", folder.join("config.json"))
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let (send, lines) = channel();
+        let stdout = BufReader::new(child.stdout.take().expect("piped"));
+        std::thread::spawn(move || stdout.lines().map_while(Result::ok).try_for_each(|line| send.send(line)));
+        let mut daemon = Self { child, lines, http: None, mysql: None, folder };
+        // It tells of its doors, the platform's last; where the configuration is bad it ends instead.
+        while let Ok(line) = daemon.lines.recv_timeout(PATIENCE) {
+            let address = line.rsplit(' ').next().and_then(|a| a.parse().ok());
+            if line.contains("speaks MySQL on") {
+                daemon.mysql = address;
+            } else if line.contains("listens on") {
+                daemon.http = address;
+                break;
+            }
+        }
+        daemon
+    }
+
+    pub fn signal(&self, name: &str) {
+        let number = self.child.id().to_string();
+        let done = Command::new("kill").args(["-s", name, &number]).status().expect("kill runs");
+        assert!(done.success());
+    }
+
+    /// Waits for a line that holds `text`.
+    pub fn line(&self, text: &str) -> String {
+        loop {
+            let line =
+                self.lines.recv_timeout(PATIENCE).unwrap_or_else(|e| panic!("no line with {text}: {e}"));
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill(); // it may have ended
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// A socket that stands for the directory.
+pub fn names() -> UdpSocket {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    socket.set_read_timeout(Some(PATIENCE)).expect("set");
+    socket
+}
--- /dev/null
+++ b/tests/exchanges.rs
@@ -0,0 +1,208 @@
+//! Plays the recorded byte exchanges in `tests/exchanges` against the program. A step a line:
+//!
+//! - `start e1 e2`, `start mysql e1`: the program starts and knows these engines;
+//! - `a > bytes`, `a < bytes`: client `a` of the platform's front sends, or receives exactly that;
+//!   `m...` is a client of the MySQL front, `e...` an engine, `names` the directory;
+//! - `a ended`, `a close`: its connection was ended, or it ends it; `e1 next`: the engine's next connection;
+//! - `e1 gone`: nobody listens there any more;
+//! - `signal USR1`, `line text`, `exit 0`: a signal; a line on standard output; the program's end.
+//!
+//! In bytes, `\r`, `\n`, `\t`, `\\` and `\x00` are escapes, `<n>` stands for digits, `<8>` for any eight
+//! bytes, and `<e1>` for that engine's port in two bytes. Lines that begin with two blanks go on.
+
+mod daemon;
+use daemon::*;
+use rstest::rstest;
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+
+const MYSQL: &str = r#"
+listen = "127.0.0.1:0"
+accounts = { billing = "" }
+statement = [{ starts = "select", class = "lookup" }, { starts = "insert", class = "load" }]
+class = { lookup = { deadline_ms = 2500 } }
+[engine]
+port = 3306
+user = "gateway"
+"#;
+
+enum Piece {
+    Byte(u8),
+    Digits,
+    Any(usize),
+}
+
+struct Player {
+    daemon: Option<Daemon>,
+    engines: HashMap<String, Named>,
+    ports: HashMap<String, u16>,
+    streams: HashMap<String, TcpStream>,
+    names: std::net::UdpSocket,
+    asker: Option<SocketAddr>,
+}
+
+impl Player {
+    fn pieces(&self, text: &str) -> Vec<Piece> {
+        let (mut pieces, mut rest) = (Vec::new(), text);
+        while let Some(first) = rest.chars().next() {
+            let mut length = first.len_utf8();
+            if let Some((escape, after)) = rest.strip_prefix('\\').map(|r| r.split_at(1)) {
+                length = 2;
+                pieces.push(Piece::Byte(match escape {
+                    "r" => b'\r',
+                    "n" => b'\n',
+                    "t" => b'\t',
+                    "x" => {
+                        length = 4;
+                        u8::from_str_radix(&after[..2], 16).expect("two hex digits")
+                    }
+                    other => other.as_bytes()[0],
+                }));
+            } else if let Some(end) = rest.find('>').filter(|_| first == '<') {
+                length = end + 1;
+                match &rest[1..end] {
+                    "n" => pieces.push(Piece::Digits),
+                    name => match name.parse() {
+                        Ok(count) => pieces.push(Piece::Any(count)),
+                        Err(_) => pieces.extend(self.ports[name].to_be_bytes().map(Piece::Byte)),
+                    },
+                }
+            } else {
+                pieces.extend(rest[..length].bytes().map(Piece::Byte));
+            }
+            rest = &rest[length..];
+        }
+        pieces
+    }
+
+    fn bytes(&self, text: &str) -> Vec<u8> {
+        let byte = |piece: Piece| match piece {
+            Piece::Byte(byte) => byte,
+            _ => panic!("only what is received may be open: {text}"),
+        };
+        self.pieces(text).into_iter().map(byte).collect()
+    }
+
+    fn stream(&mut self, who: &str) -> &mut TcpStream {
+        if !self.streams.contains_key(who) {
+            let stream = match self.engines.get(who) {
+                Some(engine) => engine.listener.accept().expect("a connection").0,
+                None => {
+                    let daemon = self.daemon.as_ref().expect("started");
+                    let door = if who.starts_with('m') { daemon.mysql } else { daemon.http };
+                    TcpStream::connect(door.expect("that door is open")).expect("connected")
+                }
+            };
+            stream.set_read_timeout(Some(PATIENCE)).expect("set");
+            self.streams.insert(who.into(), stream);
+        }
+        self.streams.get_mut(who).expect("there now")
+    }
+
+    fn receive(&mut self, who: &str, text: &str) {
+        let pieces = self.pieces(text);
+        let stream = self.stream(who);
+        let (mut got, mut held) = (Vec::new(), None);
+        let mut byte = |got: &mut Vec<u8>| {
+            let mut byte = [0];
+            let read = stream.read_exact(&mut byte);
+            assert!(read.is_ok(), "{who} waits for {text}, got {}", got.escape_ascii());
+            got.push(byte[0]);
+            byte[0]
+        };
+        for piece in pieces {
+            match piece {
+                Piece::Byte(wanted) => {
+                    let met = held.take().unwrap_or_else(|| byte(&mut got));
+                    assert_eq!(met, wanted, "{who} wants {text}, got {}", got.escape_ascii());
+                }
+                Piece::Any(count) => (0..count).for_each(|_| {
+                    byte(&mut got);
+                }),
+                Piece::Digits => {
+                    let mut met = byte(&mut got);
+                    assert!(met.is_ascii_digit(), "{who} wants {text}, got {}", got.escape_ascii());
+                    while met.is_ascii_digit() || met == b'.' {
+                        met = byte(&mut got);
+                    }
+                    held = Some(met);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, step: &str) {
+        let (first, rest) = step.split_once(' ').unwrap_or((step, ""));
+        let (verb, text) = rest.split_once(' ').unwrap_or((rest, ""));
+        match (first, verb) {
+            ("start", _) => {
+                let mysql = verb == "mysql";
+                let ids = rest.split(' ').filter(|id| id.starts_with('e'));
+                self.engines = ids.map(|id| (id.to_string(), Named::new(id))).collect();
+                self.ports = self.engines.iter().map(|(id, e)| (id.clone(), e.address().port())).collect();
+                // `e9` is not known at the start: only the directory tells of it.
+                let known = self.engines.values().filter(|e| e.id != "e9");
+                let known: Vec<_> = known.map(|e| (e.id.as_str(), e.address())).collect();
+                let address = |(id, a): &(&str, SocketAddr)| format!("{id} = \"{a}\"");
+                let list = known.iter().map(address).collect::<Vec<_>>().join(", ");
+                let toml = format!("{MYSQL}addresses = {{ {list} }}\n");
+                let config = config(&known, self.names.local_addr().expect("bound"));
+                self.daemon = Some(Daemon::start(&config, mysql.then_some(toml.as_str())));
+            }
+            ("signal", name) => self.daemon.as_ref().expect("started").signal(name),
+            ("line", _) => drop(self.daemon.as_ref().expect("started").line(rest)),
+            ("exit", code) => {
+                let status = self.daemon.as_mut().expect("started").child.wait().expect("it ends");
+                assert_eq!(status.code().map(|c| c.to_string()).as_deref(), Some(code));
+            }
+            ("names", "<") => {
+                let mut buffer = [0; 512];
+                let (length, from) = self.names.recv_from(&mut buffer).expect("a query");
+                // The number of the query is its own affair.
+                assert_eq!(buffer[2..length], self.bytes(text), "the query");
+                self.asker = Some(from);
+            }
+            ("names", ">") => {
+                let answer = self.bytes(text);
+                self.names.send_to(&answer, self.asker.expect("asked")).expect("sent");
+            }
+            (who, ">") => {
+                let bytes = self.bytes(text);
+                self.stream(who).write_all(&bytes).expect("sent");
+            }
+            (who, "<") => self.receive(who, text),
+            (who, "ended") => {
+                let read = self.stream(who).read(&mut [0]);
+                // A reset is an end as well.
+                let ended =
+                    read.as_ref().map_or_else(|e| e.kind() != std::io::ErrorKind::WouldBlock, |n| *n == 0);
+                assert!(ended, "{who} is still open: {read:?}");
+            }
+            (who, "close") | (who, "next") => drop(self.streams.remove(who)),
+            (who, "gone") => {
+                self.streams.remove(who);
+                self.engines.remove(who);
+            }
+            _ => panic!("no such step: {step}"),
+        }
+    }
+}
+
+#[rstest]
+fn an_exchange_goes_as_recorded(#[files("tests/exchanges/*.txt")] path: PathBuf) {
+    let text = std::fs::read_to_string(&path).expect("readable");
+    let joined = text.replace("\n  ", "");
+    let mut player = Player {
+        daemon: None,
+        engines: HashMap::new(),
+        ports: HashMap::new(),
+        streams: HashMap::new(),
+        names: names(),
+        asker: None,
+    };
+    for step in joined.lines().filter(|line| !line.is_empty() && !line.starts_with('#')) {
+        player.step(step);
+    }
+}
