Both fronts share their listener, table and timers; connections are taken to the end

Seen: duplicates named the two fronts' accept, alarm and answer code. It is one generic Hall now; behaviour is the same. After SIGTERM the listener stays open: a connection that the kernel took and nobody here would be lost.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -43,7 +43,7 @@
     resp: Resp,
     /// The second door, where the deployment has one.
     mysql: Option<(MysqlFront, MysqlLink)>,
-    /// After SIGTERM: until when new connections are taken.
+    /// After SIGTERM: until when the program stays in any case.
     farewell: Option<Time>,
 }
 
@@ -63,7 +63,7 @@
         let members = config.known.1.all();
         let directory = Directory::new(DIRECTORY, names, config.known, &poller, limits.clone())
             .map_err(|e| format!("directory {names}: {e}"))?;
-        let platform = Platform::new(PLATFORM, 0, listen, classes, poller.clone(), limits.clone())
+        let platform = Platform::open(PLATFORM, 0, listen, classes, poller.clone(), limits.clone())
             .map_err(|e| format!("listen {listen}: {e}"))?;
         let mysql = match Mysql::from_file(&config.settings)? {
             None => None,
@@ -71,7 +71,7 @@
                 let (listen, mysql) = (mysql.listen, Rc::new(mysql));
                 let (settings, poller) = (&config.settings, poller.clone());
                 let link = MysqlLink::new(MYSQL_LINK, mysql.clone(), poller.clone(), limits.clone());
-                let front = MysqlFront::new(MYSQL_FRONT, 1, mysql, settings, poller, limits.clone())
+                let front = MysqlFront::open(MYSQL_FRONT, 1, mysql, settings, poller, limits.clone())
                     .map_err(|e| format!("listen {listen}: {e}"))?;
                 let address = front.address().map_err(|e| format!("listen {listen}: {e}"))?;
                 println!("{} speaks MySQL on {address}", config.name);
@@ -106,9 +106,8 @@
                 println!("{}", self.counters());
                 return Ok(());
             }
-            self.poller
-                .wait(self.clock.now(), self.next(now), &mut ready)
-                .map_err(|e| format!("epoll: {e}"))?;
+            let next = self.next(now);
+            self.poller.wait(self.clock.now(), next, &mut ready).map_err(|e| format!("epoll: {e}"))?;
             let now = self.clock.now();
             for ready in &ready {
                 self.ready(now, *ready);
@@ -118,13 +117,13 @@
     }
 
     /// When there is next something to do that no descriptor tells of.
-    fn next(&self, now: Time) -> Time {
+    fn next(&mut self, now: Time) -> Time {
         let parts = [
             self.core.next(),
             self.directory.next(),
             self.platform.next(),
             self.resp.next(),
-            self.mysql.as_ref().and_then(|(front, _)| front.next()),
+            self.mysql.as_mut().and_then(|(front, _)| front.next()),
             self.mysql.as_ref().and_then(|(_, link)| link.next()),
             self.farewell.filter(|at| *at > now),
         ];
@@ -216,22 +215,21 @@
         }
     }
 
-    /// After SIGTERM, once the front has had time to notice and every answer is out.
+    /// After SIGTERM, once clients have had time to notice and every answer is out. New connections are taken
+    /// to the end: one that the kernel took, and nobody here, would be lost.
     fn is_over(&mut self, now: Time) -> bool {
         if self.farewell.is_none_or(|at| now < at) {
             return false;
         }
-        self.platform.stop();
         let mut idle = self.platform.idle();
         if let Some((front, _)) = &mut self.mysql {
-            front.stop();
             idle &= front.idle();
         }
         idle && self.core.open() == 0
     }
 
     fn counters(&mut self) -> String {
-        let mysql = self.mysql.as_ref().map_or(0, |(front, _)| front.bad());
+        let mysql = self.mysql.as_mut().map_or(0, |(front, _)| front.bad());
         self.core.counters.bad = self.platform.bad() + mysql;
         format!("counters {} lists_bad={}", self.core.counters, self.directory.bad)
     }
--- /dev/null
+++ b/src/front/hall.rs
@@ -0,0 +1,148 @@
+//! What both fronts have: a listener, connections with a time to live, requests that are open.
+
+use crate::core::{Ask, Wish};
+use crate::limits::Limits;
+use crate::net::{Channel, Connection, Flow, Listener, Poller, Ready, Table, Time, Timers, Token};
+use dahliaspoke::interface::RequestId;
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// What the connections of a front have in common, whatever they speak.
+pub struct Desk {
+    pub limits: Rc<Limits>,
+    pub door: usize,
+    wishes: VecDeque<Wish>,
+    /// The connection that each open request came by.
+    open: HashMap<RequestId, Token>,
+    timers: Timers<Token>,
+    /// Calls that could not be read.
+    pub bad: u64,
+}
+
+impl Desk {
+    pub fn new(door: usize, limits: Rc<Limits>) -> Self {
+        let (wishes, open, timers) = (VecDeque::new(), HashMap::new(), Timers::default());
+        Self { limits, door, wishes, open, timers, bad: 0 }
+    }
+
+    pub fn is_open(&self, id: &RequestId) -> bool {
+        self.open.contains_key(id)
+    }
+
+    /// Hands a request on to the core.
+    pub fn ask(&mut self, token: Token, ask: Ask) {
+        self.open.insert(ask.id.clone(), token);
+        self.wishes.push_back(Wish::Ask(ask));
+    }
+
+    /// The client of an open request has gone.
+    pub fn left(&mut self, id: RequestId) {
+        self.open.remove(&id);
+        self.wishes.push_back(Wish::Left(id));
+    }
+
+    /// Looks at the connection at that time.
+    pub fn look(&mut self, at: Time, token: Token) {
+        self.timers.set(at, token);
+    }
+}
+
+/// A client's connection.
+pub trait Guest: Connection + Sized {
+    /// Round a socket that was accepted; `None` if it cannot be served.
+    fn welcome(now: Time, channel: Channel, token: Token, shared: &Self::Shared) -> Option<Self>;
+    /// When it is closed; `None` while a request is open.
+    fn until(&self) -> Option<Time>;
+    fn desk(shared: &mut Self::Shared) -> &mut Desk;
+    /// Connections held at once.
+    fn most(limits: &Limits) -> usize;
+}
+
+/// A listener and the connections that came by it.
+pub struct Hall<G: Guest> {
+    listener: Listener,
+    table: Table<G>,
+    pub shared: G::Shared,
+}
+
+impl<G: Guest> Hall<G> {
+    pub fn new(part: u8, listen: SocketAddr, shared: G::Shared, poller: Rc<Poller>) -> io::Result<Self> {
+        let listener = Listener::bind(part, listen, poller.clone())?;
+        Ok(Self { listener, table: Table::new(part, poller), shared })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.address()
+    }
+
+    pub fn take(&mut self) -> Option<Wish> {
+        G::desk(&mut self.shared).wishes.pop_front()
+    }
+
+    pub fn bad(&mut self) -> u64 {
+        G::desk(&mut self.shared).bad
+    }
+
+    pub fn next(&mut self) -> Option<Time> {
+        G::desk(&mut self.shared).timers.next()
+    }
+
+    /// Whether every answer is out.
+    pub fn idle(&mut self) -> bool {
+        self.table.is_flushed()
+    }
+
+    pub fn ready(&mut self, now: Time, ready: Ready) {
+        if ready.token.place == Listener::PLACE {
+            self.accept(now);
+        } else {
+            self.table.ready(now, ready, &mut self.shared);
+        }
+        self.make_room();
+    }
+
+    /// Closes the connections whose time is up.
+    pub fn alarm(&mut self, now: Time) {
+        while let Some(token) = G::desk(&mut self.shared).timers.due(now) {
+            let Some(guest) = self.table.get(token) else { continue };
+            match guest.until() {
+                Some(until) if until <= now => self.table.close(now, token, &mut self.shared),
+                until => {
+                    let desk = G::desk(&mut self.shared);
+                    desk.look(until.unwrap_or(now + desk.limits.linger), token);
+                }
+            }
+        }
+        self.make_room();
+    }
+
+    /// Runs `answer` on the connection that the request came by, if it is still there.
+    pub fn answer(&mut self, now: Time, id: &RequestId, answer: impl FnOnce(&mut G, &mut G::Shared) -> Flow) {
+        let Some(token) = G::desk(&mut self.shared).open.remove(id) else { return };
+        let Some(guest) = self.table.get(token) else { return };
+        let flow = answer(guest, &mut self.shared);
+        self.table.settle(now, token, flow, &mut self.shared);
+    }
+
+    /// Connections beyond the limit wait in the kernel's line.
+    fn make_room(&mut self) {
+        let most = G::most(&G::desk(&mut self.shared).limits);
+        self.listener.room(self.table.len() < most);
+    }
+
+    fn accept(&mut self, now: Time) {
+        while self.table.len() < G::most(&G::desk(&mut self.shared).limits) {
+            let Some(channel) = self.listener.accept() else { return };
+            let shared = &self.shared;
+            let Ok(Some(token)) = self.table.add(|token| G::welcome(now, channel, token, shared)) else {
+                continue;
+            };
+            let until = self.table.get(token).and_then(|guest| guest.until());
+            G::desk(&mut self.shared).look(until.unwrap_or(now), token);
+            self.table.settle(now, token, Flow::Open, &mut self.shared);
+        }
+    }
+}
--- a/src/front/mysql/mod.rs
+++ b/src/front/mysql/mod.rs
@@ -3,18 +3,18 @@
 
 mod setup;
 
+use super::hall::{Desk, Guest, Hall};
 use super::sql;
-use crate::core::{Answer, Ask, Front, Wish, Work};
+use crate::core::{Answer, Ask, Front, Work};
 use crate::limits::Limits;
 use crate::mysql::auth;
 use crate::mysql::config::Mysql;
 use crate::mysql::packet::{self, capability, column, command, eof, error, ok, Malformed, Reader, Res};
-use crate::net::{Channel, Connection, Flow, Listener, Poller, Ready, Table, Time, Timers, Token};
+use crate::net::{Channel, Connection, Flow, Poller, Time, Token};
 use dahliaspoke::interface::{RequestId, Settings};
 use setup::Plan;
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -22,17 +22,12 @@
 const VERSION: &str = "8.0.36-dahliaspoke";
 
 /// What all sessions have in common.
-struct Shared {
-    limits: Rc<Limits>,
+pub struct Shared {
+    desk: Desk,
     config: Rc<Mysql>,
-    door: usize,
     /// Name and give-up time (seconds) by class.
     classes: Vec<(Arc<str>, f64)>,
-    wishes: VecDeque<Wish>,
-    open: HashMap<RequestId, Token>,
-    timers: Timers<Token>,
     requests: u64,
-    bad: u64,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -68,7 +63,7 @@
 }
 
 /// A client's session.
-struct Session {
+pub struct Session {
     channel: Channel,
     token: Token,
     stage: Stage,
@@ -90,15 +85,11 @@
     }
 }
 
-/// The listener and the sessions.
-pub struct MysqlFront {
-    listener: Listener,
-    table: Table<Session>,
-    shared: Shared,
-}
+/// The MySQL front.
+pub type MysqlFront = Hall<Session>;
 
 impl MysqlFront {
-    pub fn new(
+    pub fn open(
         part: u8,
         door: usize,
         config: Rc<Mysql>,
@@ -106,108 +97,43 @@
         poller: Rc<Poller>,
         limits: Rc<Limits>,
     ) -> io::Result<Self> {
-        let listener = Listener::bind(part, config.listen, poller.clone())?;
-        let shared = Shared {
-            limits,
-            config,
-            door,
-            classes: settings.classes.iter().map(|c| (c.name.as_str().into(), c.give_up)).collect(),
-            wishes: VecDeque::new(),
-            open: HashMap::new(),
-            timers: Timers::default(),
-            requests: 0,
-            bad: 0,
-        };
-        Ok(Self { listener, table: Table::new(part, poller), shared })
-    }
-
-    /// Where it listens.
-    pub fn address(&self) -> io::Result<SocketAddr> {
-        self.listener.address()
-    }
-
-    pub fn take(&mut self) -> Option<Wish> {
-        self.shared.wishes.pop_front()
-    }
-
-    /// Packets that could not be read.
-    pub fn bad(&self) -> u64 {
-        self.shared.bad
-    }
-
-    pub fn next(&self) -> Option<Time> {
-        self.shared.timers.next()
-    }
-
-    pub fn ready(&mut self, now: Time, ready: Ready) {
-        if ready.token.place == Listener::PLACE {
-            self.accept(now);
-        } else {
-            self.table.ready(now, ready, &mut self.shared);
-        }
-        self.make_room();
+        let (listen, desk) = (config.listen, Desk::new(door, limits));
+        let classes = settings.classes.iter().map(|c| (c.name.as_str().into(), c.give_up)).collect();
+        Self::new(part, listen, Shared { desk, config, classes, requests: 0 }, poller)
     }
+}
 
-    /// Closes the sessions whose time is up.
-    pub fn alarm(&mut self, now: Time) {
-        while let Some(token) = self.shared.timers.due(now) {
-            let Some(session) = self.table.get(token) else { continue };
-            if session.open.is_none() && session.until <= now {
-                self.table.close(now, token, &mut self.shared);
-            } else {
-                let again = session.until.max(now + self.shared.limits.linger);
-                self.shared.timers.set(again, token);
-            }
-        }
-        self.make_room();
+impl Guest for Session {
+    fn welcome(now: Time, mut channel: Channel, token: Token, shared: &Shared) -> Option<Self> {
+        let mut challenge = [0; auth::CHALLENGE];
+        getrandom::fill(&mut challenge).ok()?; // without a challenge nobody can be let in
+                                               // A zero byte would end it, and a dollar sign is read otherwise by some.
+        challenge.iter_mut().for_each(|b| *b = *b % 90 + 37);
+        channel.push(packet::packet(0, &greeting(token.place, &challenge)));
+        Some(Session {
+            channel,
+            token,
+            stage: Stage::Greeted,
+            challenge,
+            account: String::new(),
+            statements: HashMap::new(),
+            last_statement: 0,
+            open: None,
+            deadline: 0.0,
+            until: now + shared.desk.limits.client_idle,
+        })
     }
 
-    /// Takes no new sessions from here on.
-    pub fn stop(&mut self) {
-        self.listener.stop();
-        self.make_room();
+    fn until(&self) -> Option<Time> {
+        self.open.is_none().then_some(self.until)
     }
 
-    /// Whether every answer is out.
-    pub fn idle(&mut self) -> bool {
-        self.table.is_flushed()
+    fn desk(shared: &mut Shared) -> &mut Desk {
+        &mut shared.desk
     }
 
-    fn make_room(&mut self) {
-        self.listener.room(self.table.len() < self.shared.limits.sessions);
-    }
-
-    fn accept(&mut self, now: Time) {
-        while self.table.len() < self.shared.limits.sessions {
-            let Some(channel) = self.listener.accept() else { return };
-            let mut challenge = [0; auth::CHALLENGE];
-            // Without a challenge nobody can be let in.
-            if getrandom::fill(&mut challenge).is_err() {
-                continue;
-            }
-            // A zero byte would end it, and a dollar sign is read otherwise by some.
-            challenge.iter_mut().for_each(|b| *b = *b % 90 + 37);
-            let until = now + self.shared.limits.client_idle;
-            let session = |token| Session {
-                channel,
-                token,
-                stage: Stage::Greeted,
-                challenge,
-                account: String::new(),
-                statements: HashMap::new(),
-                last_statement: 0,
-                open: None,
-                deadline: 0.0,
-                until,
-            };
-            let Ok(token) = self.table.add(session) else { continue };
-            self.shared.timers.set(until, token);
-            if let Some(session) = self.table.get(token) {
-                let greeting = greeting(token.place, &session.challenge);
-                session.channel.push(packet::packet(0, &greeting));
-            }
-            self.table.settle(now, token, Flow::Open, &mut self.shared);
-        }
+    fn most(limits: &Limits) -> usize {
+        limits.sessions
     }
 }
 
@@ -235,14 +161,13 @@
 
 impl Front for MysqlFront {
     fn answer(&mut self, now: Time, id: &RequestId, answer: Answer) {
-        let Some(token) = self.shared.open.remove(id) else { return };
-        let Some(session) = self.table.get(token) else { return };
-        session.open = None;
-        session.until = now + self.shared.limits.session_idle;
-        let late = now + self.shared.limits.late >= session.deadline;
-        session.push(1, &encode(answer, late));
-        let flow = session.next_packet(now, &mut self.shared);
-        self.table.settle(now, token, flow, &mut self.shared);
+        Hall::answer(self, now, id, |session, shared| {
+            session.open = None;
+            session.until = now + shared.desk.limits.session_idle;
+            let late = now + shared.desk.limits.late >= session.deadline;
+            session.push(1, &encode(answer, late));
+            session.next_packet(now, shared)
+        });
     }
 }
 
@@ -274,7 +199,11 @@
     fn readable(&mut self, now: Time, shared: &mut Shared) -> Flow {
         if self.open.is_some() {
             // Commands sent ahead wait here, but not without bound.
-            return if self.channel.input.len() > 2 * shared.limits.body { Flow::Close } else { Flow::Open };
+            return if self.channel.input.len() > 2 * shared.desk.limits.body {
+                Flow::Close
+            } else {
+                Flow::Open
+            };
         }
         self.next_packet(now, shared)
     }
@@ -285,8 +214,7 @@
 
     fn closed(&mut self, _: Time, shared: &mut Shared) {
         if let Some(id) = self.open.take() {
-            shared.open.remove(&id);
-            shared.wishes.push_back(Wish::Left(id));
+            shared.desk.left(id);
         }
     }
 }
@@ -306,10 +234,10 @@
     /// Reads packets until one needs the core, or no whole one is left.
     fn next_packet(&mut self, now: Time, shared: &mut Shared) -> Flow {
         while self.open.is_none() {
-            if self.channel.queued() > shared.limits.unread {
+            if self.channel.queued() > shared.desk.limits.unread {
                 return Flow::Close;
             }
-            let (sequence, payload) = match packet::read(&self.channel.input, shared.limits.body) {
+            let (sequence, payload) = match packet::read(&self.channel.input, shared.desk.limits.body) {
                 Ok(None) => return Flow::Open,
                 Ok(Some((sequence, payload, length))) => {
                     let payload = payload.to_vec();
@@ -322,9 +250,9 @@
                 }
             };
             let idle = if self.stage == Stage::Ready {
-                shared.limits.session_idle
+                shared.desk.limits.session_idle
             } else {
-                shared.limits.client_idle
+                shared.desk.limits.client_idle
             };
             self.until = now + idle;
             let next = sequence.wrapping_add(1);
@@ -349,10 +277,10 @@
 
     /// Says why, and closes.
     fn end(&mut self, now: Time, sequence: u8, refusal: Refusal, shared: &mut Shared) -> Flow {
-        shared.bad += 1;
+        shared.desk.bad += 1;
         self.push(sequence, &[refusal.encode()]);
-        self.until = now + shared.limits.linger;
-        shared.timers.set(self.until, self.token);
+        self.until = now + shared.desk.limits.linger;
+        shared.desk.look(self.until, self.token);
         Flow::Finish
     }
 
@@ -463,8 +391,8 @@
             Ok(statement) => statement,
             Err(refusal) => return Ok(Some(refusal)),
         };
-        if self.statements.len() >= shared.limits.statements {
-            let most = shared.limits.statements;
+        if self.statements.len() >= shared.desk.limits.statements {
+            let most = shared.desk.limits.statements;
             let message =
                 format!("Can't create more than max_prepared_stmt_count statements (current value: {most})");
             return Ok(Some(Refusal(1461, "42000", message)));
@@ -525,9 +453,8 @@
         let id: RequestId = format!("mysql-{:x}", shared.requests).into();
         self.deadline = now + statement.deadline;
         self.open = Some(id.clone());
-        shared.open.insert(id.clone(), self.token);
-        shared.wishes.push_back(Wish::Ask(Ask {
-            door: shared.door,
+        let ask = Ask {
+            door: shared.desk.door,
             id,
             class: statement.class,
             deadline: self.deadline,
@@ -540,7 +467,8 @@
                 arguments: arguments.map(Arc::from),
                 key,
             },
-        }));
+        };
+        shared.desk.ask(self.token, ask);
         Ok(())
     }
 }
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -2,32 +2,26 @@
 
 mod http;
 
+use super::hall::{Desk, Guest, Hall};
 use super::sql;
-use crate::core::{Answer, Ask, Front, Parts, Wish, Work};
+use crate::core::{Answer, Ask, Front, Parts, Work};
 use crate::limits::Limits;
-use crate::net::{Channel, Connection, Flow, Listener, Poller, Ready, Table, Time, Timers, Token};
+use crate::net::{Channel, Connection, Flow, Poller, Time, Token};
 use dahliaspoke::interface::RequestId;
 use http::{Bad, Call, Read};
-use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
 /// What all client connections have in common.
-struct Shared {
-    limits: Rc<Limits>,
-    door: usize,
+pub struct Shared {
+    desk: Desk,
     classes: Vec<Arc<str>>,
-    wishes: VecDeque<Wish>,
-    /// The connection that each open request came by.
-    open: HashMap<RequestId, Token>,
-    timers: Timers<Token>,
-    bad: u64,
 }
 
 /// A client's connection: one call at a time.
-struct Client {
+pub struct Client {
     channel: Channel,
     token: Token,
     open: Option<RequestId>,
@@ -38,15 +32,11 @@
     until: Time,
 }
 
-/// The listener and the clients' connections.
-pub struct Platform {
-    listener: Listener,
-    table: Table<Client>,
-    shared: Shared,
-}
+/// The platform's front.
+pub type Platform = Hall<Client>;
 
 impl Platform {
-    pub fn new(
+    pub fn open(
         part: u8,
         door: usize,
         listen: SocketAddr,
@@ -54,94 +44,41 @@
         poller: Rc<Poller>,
         limits: Rc<Limits>,
     ) -> io::Result<Self> {
-        let listener = Listener::bind(part, listen, poller.clone())?;
-        let (wishes, open) = (VecDeque::new(), HashMap::new());
-        Ok(Self {
-            listener,
-            table: Table::new(part, poller),
-            shared: Shared { limits, door, classes, wishes, open, timers: Timers::default(), bad: 0 },
-        })
-    }
-
-    /// Where it listens.
-    pub fn address(&self) -> io::Result<SocketAddr> {
-        self.listener.address()
-    }
-
-    pub fn take(&mut self) -> Option<Wish> {
-        self.shared.wishes.pop_front()
-    }
-
-    /// Calls that could not be read.
-    pub fn bad(&self) -> u64 {
-        self.shared.bad
-    }
-
-    pub fn next(&self) -> Option<Time> {
-        self.shared.timers.next()
-    }
-
-    pub fn ready(&mut self, now: Time, ready: Ready) {
-        if ready.token.place == Listener::PLACE {
-            self.accept(now);
-        } else {
-            self.table.ready(now, ready, &mut self.shared);
-        }
-        self.make_room();
+        Self::new(part, listen, Shared { desk: Desk::new(door, limits), classes }, poller)
     }
+}
 
-    /// Closes the connections whose time is up.
-    pub fn alarm(&mut self, now: Time) {
-        while let Some(token) = self.shared.timers.due(now) {
-            let Some(client) = self.table.get(token) else { continue };
-            if client.open.is_none() && client.until <= now {
-                self.table.close(now, token, &mut self.shared);
+impl Front for Platform {
+    fn answer(&mut self, now: Time, id: &RequestId, answer: Answer) {
+        Hall::answer(self, now, id, |client, shared| {
+            client.open = None;
+            client.until = now + shared.desk.limits.client_idle;
+            client.channel.push(encode(answer, client.stays));
+            if client.stays {
+                client.next_call(now, shared)
             } else {
-                let open = client.open.is_some();
-                let again = if open { now + self.shared.limits.client_idle } else { client.until };
-                self.shared.timers.set(again, token);
+                client.finish(now, shared)
             }
-        }
-        self.make_room();
-    }
-
-    /// Takes no new connections from here on.
-    pub fn stop(&mut self) {
-        self.listener.stop();
-        self.make_room();
+        });
     }
+}
 
-    fn make_room(&mut self) {
-        self.listener.room(self.table.len() < self.shared.limits.clients);
+impl Guest for Client {
+    fn welcome(now: Time, channel: Channel, token: Token, shared: &Shared) -> Option<Self> {
+        let until = now + shared.desk.limits.client_idle;
+        Some(Client { channel, token, open: None, stays: true, continued: false, until })
     }
 
-    /// Whether every answer is out.
-    pub fn idle(&mut self) -> bool {
-        self.table.is_flushed()
+    fn until(&self) -> Option<Time> {
+        self.open.is_none().then_some(self.until)
     }
 
-    fn accept(&mut self, now: Time) {
-        while self.table.len() < self.shared.limits.clients {
-            let Some(channel) = self.listener.accept() else { return };
-            let until = now + self.shared.limits.client_idle;
-            let client = |token| Client { channel, token, open: None, stays: true, continued: false, until };
-            let Ok(token) = self.table.add(client) else { continue };
-            self.shared.timers.set(until, token);
-        }
+    fn desk(shared: &mut Shared) -> &mut Desk {
+        &mut shared.desk
     }
-}
 
-impl Front for Platform {
-    fn answer(&mut self, now: Time, id: &RequestId, answer: Answer) {
-        let Some(token) = self.shared.open.remove(id) else { return };
-        let Some(client) = self.table.get(token) else { return };
-        client.open = None;
-        client.until = now + self.shared.limits.client_idle;
-        let bytes = encode(answer, client.stays);
-        client.channel.push(bytes);
-        let shared = &mut self.shared;
-        let flow = if client.stays { client.next_call(now, shared) } else { client.finish(now, shared) };
-        self.table.settle(now, token, flow, &mut self.shared);
+    fn most(limits: &Limits) -> usize {
+        limits.clients
     }
 }
 
@@ -155,7 +92,7 @@
     fn readable(&mut self, now: Time, shared: &mut Shared) -> Flow {
         if self.open.is_some() {
             // Calls sent ahead wait here; more than one call's worth is no client of ours.
-            let most = shared.limits.head + shared.limits.body;
+            let most = shared.desk.limits.head + shared.desk.limits.body;
             return if self.channel.input.len() > most { Flow::Close } else { Flow::Open };
         }
         self.next_call(now, shared)
@@ -167,8 +104,7 @@
 
     fn closed(&mut self, _: Time, shared: &mut Shared) {
         if let Some(id) = self.open.take() {
-            shared.open.remove(&id);
-            shared.wishes.push_back(Wish::Left(id));
+            shared.desk.left(id);
         }
     }
 }
@@ -177,10 +113,10 @@
     /// Reads calls until one needs the core, or no whole one is left.
     fn next_call(&mut self, now: Time, shared: &mut Shared) -> Flow {
         while self.open.is_none() && !self.channel.input.is_empty() {
-            if self.channel.queued() > shared.limits.unread {
+            if self.channel.queued() > shared.desk.limits.unread {
                 return Flow::Close;
             }
-            match http::read(&self.channel.input, &shared.limits) {
+            match http::read(&self.channel.input, &shared.desk.limits) {
                 Ok(Read::Partial { expects }) => {
                     if expects && !std::mem::replace(&mut self.continued, true) {
                         self.channel.push(http::CONTINUE.to_vec());
@@ -191,7 +127,7 @@
                     self.channel.input.drain(..length);
                     self.continued = false;
                     self.stays = call.stays;
-                    self.until = now + shared.limits.client_idle;
+                    self.until = now + shared.desk.limits.client_idle;
                     if let Err(Bad(status)) = self.call(now, call, shared) {
                         return self.bad(now, status, shared);
                     }
@@ -206,14 +142,14 @@
     }
 
     fn bad(&mut self, now: Time, status: u16, shared: &mut Shared) -> Flow {
-        shared.bad += 1;
+        shared.desk.bad += 1;
         self.channel.push(http::answer(status, None, b"{\"err\":\"Lost\"}", false));
         self.finish(now, shared)
     }
 
     fn finish(&mut self, now: Time, shared: &mut Shared) -> Flow {
-        self.until = now + shared.limits.linger;
-        shared.timers.set(self.until, self.token);
+        self.until = now + shared.desk.limits.linger;
+        shared.desk.look(self.until, self.token);
         Flow::Finish
     }
 
@@ -237,12 +173,11 @@
         }
         let class = shared.classes.iter().position(|c| **c == *class).ok_or(Bad(404))?;
         let ask = ask(now, class, &call, shared)?;
-        if shared.open.contains_key(&ask.id) {
+        if shared.desk.is_open(&ask.id) {
             return Err(Bad(400));
         }
-        shared.open.insert(ask.id.clone(), self.token);
         self.open = Some(ask.id.clone());
-        shared.wishes.push_back(Wish::Ask(ask));
+        shared.desk.ask(self.token, ask);
         Ok(())
     }
 }
@@ -262,7 +197,7 @@
     }
     let statement = std::str::from_utf8(&call.body).map_err(|_| Bad(400))?;
     Ok(Ask {
-        door: shared.door,
+        door: shared.desk.door,
         id: id.into(),
         class,
         deadline: now + allow / 1000.0,
--- a/src/link/mysql/mod.rs
+++ b/src/link/mysql/mod.rs
@@ -182,7 +182,7 @@
             prepared: VecDeque::new(),
             until,
         };
-        let token = table.add(line).ok()?;
+        let token = table.add(|token| Some(line(token))).ok()??;
         self.shared.timers.set(until, Alarm::Connection(token));
         engine.lines.push(token);
         Some(token)
--- a/src/link/resp/mod.rs
+++ b/src/link/resp/mod.rs
@@ -156,7 +156,7 @@
         let channel = Channel::connect(engine.address).ok()?;
         let until = now + limits.connect;
         let line = |token| Line { channel, token, running: HashMap::new(), echoes: Vec::new(), until };
-        let token = table.add(line).ok()?;
+        let token = table.add(|token| Some(line(token))).ok()??;
         self.shared.timers.set(until, Alarm::Connection(token));
         engine.lines.push(token);
         Some(token)
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -9,7 +9,6 @@
     socket: TcpListener,
     token: Token,
     poller: Rc<Poller>,
-    wanted: bool,
     armed: bool,
 }
 
@@ -22,7 +21,7 @@
         socket.set_nonblocking(true)?;
         let token = Token::new(part, Self::PLACE, 0);
         poller.add(&socket, token, false)?;
-        Ok(Self { socket, token, poller, wanted: true, armed: true })
+        Ok(Self { socket, token, poller, armed: true })
     }
 
     pub fn address(&self) -> io::Result<SocketAddr> {
@@ -43,17 +42,11 @@
         }
     }
 
-    /// No new connections from here on.
-    pub fn stop(&mut self) {
-        self.wanted = false;
-    }
-
     /// While there is no room, connections wait in the kernel's line, and epoll does not tell of them.
     pub fn room(&mut self, room: bool) {
-        let arm = self.wanted && room;
         // A change that the kernel refuses is asked for again at the next turn.
-        if arm != self.armed && self.poller.change(&self.socket, self.token, arm, false).is_ok() {
-            self.armed = arm;
+        if room != self.armed && self.poller.change(&self.socket, self.token, room, false).is_ok() {
+            self.armed = room;
         }
     }
 }
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -61,12 +61,12 @@
         self.slots.len() - self.free.len()
     }
 
-    /// Takes in the connection that `make` builds round its own token.
-    pub fn add(&mut self, make: impl FnOnce(Token) -> C) -> io::Result<Token> {
+    /// Takes in the connection that `make` builds round its own token, if it does.
+    pub fn add(&mut self, make: impl FnOnce(Token) -> Option<C>) -> io::Result<Option<Token>> {
         let place = self.free.last().copied().unwrap_or(self.slots.len() as u32);
         let turn = self.slots.get(place as usize).map_or(0, |slot| slot.turn);
         let token = Token::new(self.part, place, turn);
-        let mut connection = make(token);
+        let Some(mut connection) = make(token) else { return Ok(None) };
         let write = connection.channel().connecting;
         self.poller.add(&connection.channel().stream, token, write)?;
         let open = Some(Open { connection, interest: (true, write), finishing: false, ended: false });
@@ -74,7 +74,7 @@
             Some(_) => self.slots[place as usize].open = open,
             None => self.slots.push(Slot { turn, open }),
         }
-        Ok(token)
+        Ok(Some(token))
     }
 
     fn open(&mut self, token: Token) -> Option<&mut Open<C>> {
