Engines from Consul's health API, and an entry in its catalogue

Off without deploy/consul.toml; then it replaces the directory. Blocking queries with the index, chunked answers, maintenance and failed checks as a drain, registration at start and deregistration at SIGTERM. An agent that fails changes nothing that is held.

--- a/src/config.rs
+++ b/src/config.rs
@@ -4,12 +4,25 @@
 use crate::membership::{known, Members};
 use dahliaspoke::interface::Settings;
 use dahliaspoke::settings::{object, part, settings, word, Res};
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::net::SocketAddr;
 
 /// The environment variable that names the configuration file.
 const FILE: &str = "NODE_CONFIG";
 
+/// A file of ours that may be absent: what it switches on is off then.
+pub fn optional<T: DeserializeOwned>(path: &str) -> Res<Option<T>> {
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+        Err(e) => return Err(format!("{path}: {e}")),
+    };
+    // One line: the parser's own report has several.
+    let plain = |text: &str| text.split_whitespace().collect::<Vec<_>>().join(" ");
+    toml::from_str(&text).map(Some).map_err(|e| format!("{path}: {}", plain(e.message())))
+}
+
 /// The configuration, checked.
 pub struct Config {
     pub name: String,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,13 +1,14 @@
 //! The loop: waits for what is ready or due, lets each part of the daemon work, and carries news between
 //! them and the core.
 
-use crate::config::Config;
+use crate::config::{optional, Config};
 use crate::core::{Core, Door};
 use crate::front::mysql::MysqlFront;
 use crate::front::platform::Platform;
 use crate::limits::Limits;
 use crate::link::mysql::MysqlLink;
 use crate::link::resp::Resp;
+use crate::membership::consul::{self, Consul};
 use crate::membership::dns::Directory;
 use crate::membership::Member;
 use crate::mysql::config::Mysql;
@@ -25,6 +26,7 @@
 const RESP: u8 = 3;
 const MYSQL_FRONT: u8 = 4;
 const MYSQL_LINK: u8 = 5;
+const CONSUL: u8 = 6;
 
 /// One byte comes down a pipe for every signal.
 struct Signal {
@@ -32,13 +34,19 @@
     number: i32,
 }
 
+/// Where news of the engines comes from.
+enum Source {
+    Directory(Directory),
+    Consul(Box<Consul>),
+}
+
 pub struct Daemon {
     clock: Clock,
     poller: Rc<Poller>,
     limits: Rc<Limits>,
     signals: Vec<Signal>,
     core: Core,
-    directory: Directory,
+    source: Source,
     platform: Platform,
     resp: Resp,
     /// The second door, where the deployment has one.
@@ -61,10 +69,18 @@
         let classes: Vec<Arc<str>> = config.settings.classes.iter().map(|c| c.name.as_str().into()).collect();
         let (listen, names) = (config.listen, config.names);
         let members = config.known.1.all();
-        let directory = Directory::new(DIRECTORY, names, config.known, &poller, limits.clone())
-            .map_err(|e| format!("directory {names}: {e}"))?;
         let platform = Platform::open(PLATFORM, 0, listen, classes, poller.clone(), limits.clone())
             .map_err(|e| format!("listen {listen}: {e}"))?;
+        let address = platform.address().map_err(|e| format!("listen {listen}: {e}"))?;
+        let source = match optional(consul::FILE)? {
+            None => Directory::new(DIRECTORY, names, config.known, &poller, limits.clone())
+                .map(Source::Directory)
+                .map_err(|e| format!("directory {names}: {e}"))?,
+            Some(file) => {
+                let (own, held) = ((config.name.clone(), address), config.known.1);
+                Source::Consul(Box::new(Consul::new(CONSUL, file, own, held, poller.clone(), limits.clone())))
+            }
+        };
         let mysql = match Mysql::from_file(&config.settings)? {
             None => None,
             Some(mysql) => {
@@ -86,12 +102,11 @@
             limits,
             signals,
             core: Core::new(config.settings, config.seed),
-            directory,
+            source,
             platform,
             farewell: None,
         };
         daemon.members(now, Scope::Restored, members);
-        let address = daemon.platform.address().map_err(|e| format!("listen {listen}: {e}"))?;
         println!("{} listens on {address}", config.name);
         Ok(daemon)
     }
@@ -120,7 +135,10 @@
     fn next(&mut self, now: Time) -> Time {
         let parts = [
             self.core.next(),
-            self.directory.next(),
+            Some(match &self.source {
+                Source::Directory(directory) => directory.next(),
+                Source::Consul(consul) => consul.next(),
+            }),
             self.platform.next(),
             self.resp.next(),
             self.mysql.as_mut().and_then(|(front, _)| front.next()),
@@ -131,7 +149,10 @@
     }
 
     fn alarms(&mut self, now: Time) {
-        self.directory.alarm(now);
+        match &mut self.source {
+            Source::Directory(directory) => directory.alarm(now),
+            Source::Consul(consul) => consul.alarm(now),
+        }
         self.platform.alarm(now);
         self.resp.alarm(now);
         if let Some((front, link)) = &mut self.mysql {
@@ -145,8 +166,11 @@
     fn ready(&mut self, now: Time, ready: Ready) {
         match ready.token.part {
             SIGNALS => self.signal(now, ready.token.place as usize),
-            DIRECTORY => {
-                let changes = self.directory.ready();
+            DIRECTORY | CONSUL => {
+                let changes = match &mut self.source {
+                    Source::Directory(directory) => directory.ready(),
+                    Source::Consul(consul) => consul.ready(now, ready),
+                };
                 if !changes.is_empty() {
                     self.members(now, Scope::Changes, changes);
                 }
@@ -212,6 +236,9 @@
         } else if self.farewell.is_none() {
             // The front goes on sending for a while: what comes is still served.
             self.farewell = Some(now + self.limits.farewell);
+            if let Source::Consul(consul) = &mut self.source {
+                consul.leave(now);
+            }
         }
     }
 
@@ -231,7 +258,11 @@
     fn counters(&mut self) -> String {
         let mysql = self.mysql.as_mut().map_or(0, |(front, _)| front.bad());
         self.core.counters.bad = self.platform.bad() + mysql;
-        format!("counters {} lists_bad={}", self.core.counters, self.directory.bad)
+        let bad = match &self.source {
+            Source::Directory(directory) => directory.bad,
+            Source::Consul(consul) => consul.bad,
+        };
+        format!("counters {} lists_bad={bad}", self.core.counters)
     }
 }
 
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -61,6 +61,12 @@
     pub poll: f64,
     /// An answer of the directory.
     pub datagram: usize,
+    /// An answer of Consul.
+    pub list: usize,
+    /// How long Consul holds a blocking query.
+    pub watch: f64,
+    /// Pause before Consul, or a peer of the store, is tried again.
+    pub again: f64,
     /// From SIGTERM until no new connection is taken.
     pub farewell: f64,
 }
@@ -110,6 +116,9 @@
             drain_grace: (num(rules, "drainGrace", 1.0)? - GRACE_MARGIN).max(0.0),
             poll: 0.2,
             datagram: 8_192,
+            list: 1 << 20,
+            watch: 30.0,
+            again: 1.0,
             farewell: 1.0,
         })
     }
--- /dev/null
+++ b/src/membership/consul/mod.rs
@@ -0,0 +1,247 @@
+//! The list of engines from Consul's health API, by blocking queries, and this coordinator's own entry in
+//! its catalogue. Replaces the directory where `deploy/consul.toml` is.
+
+mod http;
+
+use super::{Member, Members};
+use crate::limits::Limits;
+use crate::net::{Channel, Connection, Flow, Poller, Ready, Table, Time, Token};
+use dahliaspoke::interface::{EngineEntry, Lifecycle};
+use dahliaspoke::settings::{field, list, num, object, part, word, Res};
+use http::Malformed;
+use serde::Deserialize;
+use serde_json::{json, Map, Value};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Where the file is, from the folder that the daemon is started in.
+pub const FILE: &str = "deploy/consul.toml";
+
+/// The file's content.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Consul's HTTP API.
+    pub agent: SocketAddr,
+    /// The service that the engines are registered as.
+    pub service: String,
+    /// The service that this coordinator registers itself as; absent: it does not.
+    pub register: Option<String>,
+}
+
+/// Calls and answers of one connection to the agent.
+pub struct Shared {
+    limits: Rc<Limits>,
+    replies: Vec<(Token, Result<http::Reply, Malformed>)>,
+}
+
+/// A connection to the agent with one call on it.
+struct Line {
+    channel: Channel,
+    token: Token,
+    answered: bool,
+}
+
+/// Where the watch on the service stands.
+enum Watch {
+    /// Asked; the answer is due by then.
+    Waits(Token, Time),
+    /// Failed or answered; asked again then.
+    Rests(Time),
+}
+
+pub struct Consul {
+    config: Config,
+    /// This coordinator's name and address in the catalogue.
+    own: (String, SocketAddr),
+    table: Table<Line>,
+    shared: Shared,
+    watch: Watch,
+    index: u64,
+    members: Members,
+    registered: bool,
+    /// Answers that could not be used.
+    pub bad: u64,
+}
+
+impl Consul {
+    pub fn new(
+        part: u8,
+        config: Config,
+        own: (String, SocketAddr),
+        members: Members,
+        poller: Rc<Poller>,
+        limits: Rc<Limits>,
+    ) -> Self {
+        Self {
+            config,
+            own,
+            table: Table::new(part, poller),
+            shared: Shared { limits, replies: Vec::new() },
+            watch: Watch::Rests(0.0),
+            index: 0,
+            members,
+            registered: false,
+            bad: 0,
+        }
+    }
+
+    pub fn next(&self) -> Time {
+        match self.watch {
+            Watch::Waits(_, until) | Watch::Rests(until) => until,
+        }
+    }
+
+    /// Asks, when it is time to. An agent that holds a blocking query too long is asked anew.
+    pub fn alarm(&mut self, now: Time) {
+        if now < self.next() {
+            return;
+        }
+        if let Watch::Waits(token, _) = self.watch {
+            self.table.close(now, token, &mut self.shared);
+        }
+        if !self.registered {
+            self.register(now);
+        }
+        let wait = self.shared.limits.watch;
+        let path = format!("/v1/health/service/{}?index={}&wait={wait}s", self.config.service, self.index);
+        self.watch = match self.call(now, "GET", &path, "") {
+            // The agent adds up to a sixteenth to the wait.
+            Some(token) => Watch::Waits(token, now + wait * 1.25),
+            None => Watch::Rests(now + self.shared.limits.again),
+        };
+    }
+
+    /// Enters this coordinator in the catalogue, passing.
+    fn register(&mut self, now: Time) {
+        let Some(service) = &self.config.register else { return };
+        let (name, address) = &self.own;
+        let ip = address.ip().to_string();
+        let id = format!("{service}-{name}");
+        let check = json!({"Node": name, "CheckID": format!("service:{id}"), "Name": "serving",
+            "Status": "passing", "ServiceID": id});
+        let body = json!({"Node": name, "Address": ip, "SkipNodeUpdate": false, "Check": check,
+            "Service": {"ID": id, "Service": service, "Address": ip, "Port": address.port()}});
+        self.registered = self.call(now, "PUT", "/v1/catalog/register", &body.to_string()).is_some();
+    }
+
+    /// Takes this coordinator out of the catalogue: it is about to end.
+    pub fn leave(&mut self, now: Time) {
+        let Some(service) = self.config.register.clone().filter(|_| self.registered) else { return };
+        let name = &self.own.0;
+        let body = json!({"Node": name, "ServiceID": format!("{service}-{name}")});
+        self.call(now, "PUT", "/v1/catalog/deregister", &body.to_string());
+    }
+
+    fn call(&mut self, now: Time, method: &str, path: &str, body: &str) -> Option<Token> {
+        let mut channel = Channel::connect(self.config.agent).ok()?;
+        channel.push(http::call(method, path, &self.config.agent.to_string(), body));
+        let token = self.table.add(|token| Some(Line { channel, token, answered: false })).ok()??;
+        self.table.settle(now, token, Flow::Open, &mut self.shared);
+        Some(token)
+    }
+
+    /// Reads what has come; returns what has changed since.
+    pub fn ready(&mut self, now: Time, ready: Ready) -> Vec<Member> {
+        self.table.ready(now, ready, &mut self.shared);
+        let mut changes = Vec::new();
+        for (token, reply) in std::mem::take(&mut self.shared.replies) {
+            let watched = matches!(self.watch, Watch::Waits(waits, _) if waits == token);
+            let list = reply.map_err(|Malformed| "malformed".to_string()).and_then(|reply| {
+                if reply.status != 200 {
+                    return Err(format!("status {}", reply.status));
+                }
+                if watched {
+                    read(&reply).map(Some)
+                } else {
+                    Ok(None)
+                }
+            });
+            match list {
+                Ok(Some((index, members))) => {
+                    // An index that goes back starts from nothing; one of 0 would not block.
+                    self.index = if index < self.index { 0 } else { index.max(1) };
+                    changes.extend(self.members.replace(members));
+                    self.watch = Watch::Rests(now);
+                }
+                Ok(None) => {}
+                Err(why) => {
+                    println!("{now:.3} consul: {why}");
+                    self.bad += 1;
+                    // What is held stays: an agent that fails says nothing of the engines.
+                    let rest = Watch::Rests(now + self.shared.limits.again);
+                    if watched {
+                        self.watch = rest;
+                    } else {
+                        self.registered = false; // tried again with the next watch
+                    }
+                }
+            }
+        }
+        changes
+    }
+}
+
+impl Connection for Line {
+    type Shared = Shared;
+
+    fn channel(&mut self) -> &mut Channel {
+        &mut self.channel
+    }
+
+    fn readable(&mut self, _: Time, shared: &mut Shared) -> Flow {
+        match http::read(&self.channel.input, &shared.limits) {
+            Ok(None) => return Flow::Open,
+            Ok(Some((reply, _))) => shared.replies.push((self.token, Ok(reply))),
+            Err(malformed) => shared.replies.push((self.token, Err(malformed))),
+        }
+        self.answered = true;
+        Flow::Close
+    }
+
+    fn writable(&mut self, _: Time, _: &mut Shared) -> Flow {
+        Flow::Open
+    }
+
+    fn closed(&mut self, _: Time, shared: &mut Shared) {
+        if !self.answered {
+            shared.replies.push((self.token, Err(Malformed)));
+        }
+    }
+}
+
+/// The index and the engines in an answer of the health API.
+fn read(reply: &http::Reply) -> Res<(u64, Vec<Member>)> {
+    let value: Value = serde_json::from_slice(&reply.body).map_err(|e| format!("not JSON: {e}"))?;
+    let entries = value.as_array().ok_or("the answer is not a list")?;
+    let members = entries.iter().map(|entry| member(object(entry, "an entry")?)).collect::<Res<_>>()?;
+    Ok((reply.index.ok_or("no X-Consul-Index")?, members))
+}
+
+fn member(entry: &Map<String, Value>) -> Res<Member> {
+    let none = Map::new();
+    let (node, service) = (part(entry, "Node", &none)?, part(entry, "Service", &none)?);
+    let meta = part(service, "Meta", &none)?;
+    let id = word(service, "ID", "")?;
+    // A service without an address of its own is at its node's.
+    let told = word(service, "Address", "")?;
+    let ip = if told.is_empty() { word(node, "Address", "")? } else { told };
+    let ip = ip.parse().map_err(|e| format!("address of {id}: {e}"))?;
+    let port = num(service, "Port", 0.0)?;
+    if id.is_empty() || !(1.0..65536.0).contains(&port) {
+        return Err("a service has no id or no port".into());
+    }
+    // Maintenance and failed checks are critical: nothing new goes there, and what runs may end.
+    let critical = |check: &Value| field(check.as_object()?, "Status").map(|s| s == "critical");
+    let drains = list(entry, "Checks")?.iter().any(|check| critical(check) == Some(true));
+    let number = |key: &str| word(meta, key, "0")?.parse::<f64>().map_err(|e| format!("{key} of {id}: {e}"));
+    let entry = EngineEntry {
+        id: id.into(),
+        zone: word(meta, "zone", "")?.into(),
+        kind: word(meta, "kind", "")?.into(),
+        cell: number("cell")? as i64,
+        lifecycle: if drains { Lifecycle::Draining } else { Lifecycle::Ready },
+        started: super::started(number("started_ms")?),
+    };
+    Ok(Member { entry, address: Some(SocketAddr::new(ip, port as u16)) })
+}
--- a/src/membership/dns/mod.rs
+++ b/src/membership/dns/mod.rs
@@ -40,8 +40,8 @@
         Ok(Self { socket, limits, members, serial, query: 0, at: 0.0, bad: 0 })
     }
 
-    pub fn next(&self) -> Option<Time> {
-        Some(self.at)
+    pub fn next(&self) -> Time {
+        self.at
     }
 
     /// Asks, when it is time to.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,5 +1,6 @@
 //! Which engines there are. A source of membership tells the core of changes and the links of addresses.
 
+pub mod consul;
 pub mod dns;
 pub mod known;
 
--- a/src/mysql/config.rs
+++ b/src/mysql/config.rs
@@ -1,5 +1,6 @@
 //! The file that switches the MySQL door on: `deploy/mysql.toml`.
 
+use crate::config;
 use dahliaspoke::interface::Settings;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -59,13 +60,7 @@
 impl Mysql {
     /// The file's content; `None` where there is no file.
     pub fn from_file(settings: &Settings) -> Result<Option<Self>, String> {
-        let text = match std::fs::read_to_string(FILE) {
-            Ok(text) => text,
-            Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(None),
-            Err(e) => return Err(format!("{FILE}: {e}")),
-        };
-        let plain = |text: &str| text.split_whitespace().collect::<Vec<_>>().join(" ");
-        let mysql: Self = toml::from_str(&text).map_err(|e| format!("{FILE}: {}", plain(e.message())))?;
+        let Some(mysql) = config::optional::<Self>(FILE)? else { return Ok(None) };
         let known = |name: &String| settings.classes.iter().any(|c| c.name == *name);
         let named = mysql.statement.iter().map(|rule| &rule.class).chain(mysql.class.keys());
         if let Some(name) = named.into_iter().find(|name| !known(name)) {
--- a/tests/daemon/mod.rs
+++ b/tests/daemon/mod.rs
@@ -60,15 +60,15 @@
 }
 
 impl Daemon {
-    /// Starts the program; `mysql` is the text of its `deploy/mysql.toml`.
-    pub fn start(config: &str, mysql: Option<&str>) -> Self {
+    /// Starts the program with these files in its `deploy/`.
+    pub fn start(config: &str, files: &[(&str, String)]) -> Self {
         // A folder of its own: the thread's and the process's numbers name it.
         let name = format!("dahliaspoke-{}-{:?}", std::process::id(), std::thread::current().id());
         let folder = std::env::temp_dir().join(name.replace(['(', ')'], ""));
         std::fs::create_dir_all(folder.join("deploy")).expect("a folder");
         std::fs::write(folder.join("config.json"), config).expect("written");
-        if let Some(text) = mysql {
-            std::fs::write(folder.join("deploy/mysql.toml"), text).expect("written");
+        for (name, text) in files {
+            std::fs::write(folder.join("deploy").join(name), text).expect("written");
         }
         let mut child = Command::new(env!("CARGO_BIN_EXE_dahliaspoke"))
             .current_dir(&folder)
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -1,14 +1,15 @@
 //! Plays the recorded byte exchanges in `tests/exchanges` against the program. A step a line:
 //!
-//! - `start e1 e2`, `start mysql e1`: the program starts and knows these engines;
+//! - `start e1 e2`: the program starts and knows these engines; `mysql` and `consul` switch these on;
 //! - `a > bytes`, `a < bytes`: client `a` of the platform's front sends, or receives exactly that;
-//!   `m...` is a client of the MySQL front, `e...` an engine, `names` the directory;
+//!   `m...` is a client of the MySQL front, `e...` an engine, `names` the directory, `consul` its agent;
 //! - `a ended`, `a close`: its connection was ended, or it ends it; `e1 next`: the engine's next connection;
 //! - `e1 gone`: nobody listens there any more;
 //! - `signal USR1`, `line text`, `exit 0`: a signal; a line on standard output; the program's end.
 //!
 //! In bytes, `\r`, `\n`, `\t`, `\\` and `\x00` are escapes, `<n>` stands for digits, `<8>` for any eight
-//! bytes, and `<e1>` for that engine's port in two bytes. Lines that begin with two blanks go on.
+//! bytes, and `<e1>` for that engine's port in two bytes,
+//! `<e1.>` in five digits. Lines that begin with two blanks go on.
 
 mod daemon;
 use daemon::*;
@@ -66,6 +67,10 @@
                     "n" => pieces.push(Piece::Digits),
                     name => match name.parse() {
                         Ok(count) => pieces.push(Piece::Any(count)),
+                        Err(_) if name.ends_with('.') => {
+                            let port = format!("{:05}", self.ports[name.trim_end_matches('.')]);
+                            pieces.extend(port.bytes().map(Piece::Byte));
+                        }
                         Err(_) => pieces.extend(self.ports[name].to_be_bytes().map(Piece::Byte)),
                     },
                 }
@@ -138,18 +143,26 @@
         let (verb, text) = rest.split_once(' ').unwrap_or((rest, ""));
         match (first, verb) {
             ("start", _) => {
-                let mysql = verb == "mysql";
-                let ids = rest.split(' ').filter(|id| id.starts_with('e'));
-                self.engines = ids.map(|id| (id.to_string(), Named::new(id))).collect();
+                let parts: Vec<&str> = rest.split(' ').collect();
+                let listens = parts.iter().filter(|part| part.starts_with('e') || **part == "consul");
+                self.engines = listens.map(|id| (id.to_string(), Named::new(id))).collect();
                 self.ports = self.engines.iter().map(|(id, e)| (id.clone(), e.address().port())).collect();
-                // `e9` is not known at the start: only the directory tells of it.
-                let known = self.engines.values().filter(|e| e.id != "e9");
+                // `e9` is not known at the start: only a list tells of it.
+                let known = self.engines.values().filter(|e| e.id.starts_with('e') && e.id != "e9");
                 let known: Vec<_> = known.map(|e| (e.id.as_str(), e.address())).collect();
-                let address = |(id, a): &(&str, SocketAddr)| format!("{id} = \"{a}\"");
-                let list = known.iter().map(address).collect::<Vec<_>>().join(", ");
-                let toml = format!("{MYSQL}addresses = {{ {list} }}\n");
+                let mut files = Vec::new();
+                if parts.contains(&"mysql") {
+                    let address = |(id, a): &(&str, SocketAddr)| format!("{id} = \"{a}\"");
+                    let list = known.iter().map(address).collect::<Vec<_>>().join(", ");
+                    files.push(("mysql.toml", format!("{MYSQL}addresses = {{ {list} }}\n")));
+                }
+                if let Some(agent) = self.engines.get("consul") {
+                    let agent = agent.address();
+                    let text = format!("agent = \"{agent}\"\nservice = \"query\"\nregister = \"gateway\"\n");
+                    files.push(("consul.toml", text));
+                }
                 let config = config(&known, self.names.local_addr().expect("bound"));
-                self.daemon = Some(Daemon::start(&config, mysql.then_some(toml.as_str())));
+                self.daemon = Some(Daemon::start(&config, &files));
             }
             ("signal", name) => self.daemon.as_ref().expect("started").signal(name),
             ("line", _) => drop(self.daemon.as_ref().expect("started").line(rest)),
