A small replicated store for settings and the engine list; tighter limits on memory

Off without deploy/store.toml. Stored settings count from the next start; a daemon that knows no engine takes those of a peer. RESP arrays are read in one place for the store and the engines. Work on a request is bounded to 120 s, and limits were lowered so that all connections full at once stay under 192 MB: 409 clients, 64 KiB unread, 256 KiB unwritten to an engine.

--- a/src/config.rs
+++ b/src/config.rs
@@ -43,6 +43,18 @@
         Self::read(&value).map_err(|e| format!("{path}: {e}"))
     }
 
+    /// Takes what the store holds: its settings in place of the platform's, its engines where none are known.
+    pub fn take_stored(&mut self, stored: Option<&str>, engines: Option<&str>) -> Res<()> {
+        if let Some(text) = stored {
+            let value: Value = serde_json::from_str(text).map_err(|e| format!("stored settings: {e}"))?;
+            self.settings = settings(object(&value, "stored settings")?)?;
+        }
+        if let (true, Some(text)) = (self.known.1.all().is_empty(), engines) {
+            self.known.1 = known::servers(text).map_err(|e| format!("stored engines: {e}"))?;
+        }
+        Ok(())
+    }
+
     fn read(value: &Value) -> Res<Self> {
         let map = object(value, "the configuration")?;
         let address = |key: &str| -> Res<SocketAddr> {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -10,9 +10,10 @@
 use crate::link::resp::Resp;
 use crate::membership::consul::{self, Consul};
 use crate::membership::dns::Directory;
-use crate::membership::Member;
+use crate::membership::{known, Member, Members};
 use crate::mysql::config::Mysql;
 use crate::net::{Clock, Poller, Ready, Time, Token};
+use crate::store::{self, Store};
 use dahliaspoke::interface::{Lifecycle, Scope};
 use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
 use std::io::Read;
@@ -27,6 +28,7 @@
 const MYSQL_FRONT: u8 = 4;
 const MYSQL_LINK: u8 = 5;
 const CONSUL: u8 = 6;
+const STORE: u8 = 7;
 
 /// One byte comes down a pipe for every signal.
 struct Signal {
@@ -51,21 +53,33 @@
     resp: Resp,
     /// The second door, where the deployment has one.
     mysql: Option<(MysqlFront, MysqlLink)>,
+    /// The replicated store, where the deployment has one.
+    store: Option<Store>,
+    /// The engines as last told, as the store keeps them.
+    members: Members,
     /// After SIGTERM: until when the program stays in any case.
     farewell: Option<Time>,
 }
 
 impl Daemon {
-    pub fn start(config: Config) -> Result<Self, String> {
+    pub fn start(mut config: Config) -> Result<Self, String> {
         let clock = Clock::new();
         let now = clock.now();
-        let limits = Rc::new(config.limits);
+        let limits = Rc::new(config.limits.clone());
         let poller = Rc::new(Poller::new().map_err(|e| format!("epoll: {e}"))?);
         let mut signals = Vec::new();
         for (place, number) in [SIGTERM, SIGINT, SIGUSR1].into_iter().enumerate() {
             let pipe = signal(number, &poller, Token::new(SIGNALS, place as u32, 0));
             signals.push(pipe.map_err(|e| format!("signals: {e}"))?);
         }
+        let mut store = None;
+        if let Some(file) = optional(store::FILE)? {
+            let opened = Store::open(STORE, file, &config.name, poller.clone(), limits.clone())?;
+            config.take_stored(opened.get(store::SETTINGS), opened.get(store::ENGINES))?;
+            let address = opened.address().map_err(|e| format!("store: {e}"))?;
+            println!("{} stores on {address}", config.name);
+            store = Some(opened);
+        }
         let classes: Vec<Arc<str>> = config.settings.classes.iter().map(|c| c.name.as_str().into()).collect();
         let (listen, names) = (config.listen, config.names);
         let members = config.known.1.all();
@@ -97,6 +111,8 @@
         let mut daemon = Self {
             clock,
             mysql,
+            store,
+            members: Members::default(),
             resp: Resp::new(RESP, poller.clone(), limits.clone()),
             poller,
             limits,
@@ -143,6 +159,7 @@
             self.resp.next(),
             self.mysql.as_mut().and_then(|(front, _)| front.next()),
             self.mysql.as_ref().and_then(|(_, link)| link.next()),
+            self.store.as_ref().and_then(Store::next),
             self.farewell.filter(|at| *at > now),
         ];
         parts.into_iter().flatten().fold(f64::INFINITY, f64::min)
@@ -155,6 +172,10 @@
         }
         self.platform.alarm(now);
         self.resp.alarm(now);
+        if let Some(store) = &mut self.store {
+            store.alarm(now);
+        }
+        self.stored(now);
         if let Some((front, link)) = &mut self.mysql {
             front.alarm(now);
             link.alarm(now);
@@ -177,6 +198,12 @@
             }
             PLATFORM => self.platform.ready(now, ready),
             RESP => self.resp.ready(now, ready),
+            STORE => {
+                if let Some(store) = &mut self.store {
+                    store.ready(now, ready);
+                }
+                self.stored(now);
+            }
             part => match &mut self.mysql {
                 Some((front, _)) if part == MYSQL_FRONT => front.ready(now, ready),
                 Some((_, link)) => link.ready(now, ready),
@@ -210,6 +237,29 @@
         }
     }
 
+    /// Looks at what has changed in the store. Settings count from the next start on; engines that a peer
+    /// knows are taken where none are known here.
+    fn stored(&mut self, now: Time) {
+        while let Some(key) = self.store.as_mut().and_then(Store::take) {
+            println!("{now:.3} store: {key} has changed");
+            if key != store::ENGINES || !self.members.all().is_empty() {
+                continue;
+            }
+            let Some(text) = self.store.as_ref().and_then(|store| store.get(&key)) else { continue };
+            match known::servers(text) {
+                Ok(members) => {
+                    // The source must know of them, or it could not tell that one is gone.
+                    match &mut self.source {
+                        Source::Directory(directory) => directory.hold(members.clone()),
+                        Source::Consul(consul) => consul.hold(members.clone()),
+                    }
+                    self.members(now, Scope::Restored, members.all());
+                }
+                Err(e) => println!("{now:.3} store: engines: {e}"),
+            }
+        }
+    }
+
     fn members(&mut self, now: Time, scope: Scope, members: Vec<Member>) {
         for member in &members {
             // One that is gone is no longer in the list, but its attempts may be out.
@@ -222,6 +272,11 @@
                 println!("{now:.3} engine {} is {:?}", member.entry.id, member.entry.lifecycle);
             }
         }
+        self.members.change(members.clone());
+        // One that knows of none has nothing to tell: peers may know better.
+        if let Some(store) = self.store.as_mut().filter(|_| !self.members.all().is_empty()) {
+            store.set(now, store::ENGINES, &known::write(&self.members));
+        }
         let entries = members.into_iter().map(|m| m.entry).collect();
         let (core, mut doors) = self.doors();
         core.engines(now, scope, entries, &mut doors);
--- a/src/front/mysql/mod.rs
+++ b/src/front/mysql/mod.rs
@@ -447,11 +447,14 @@
         let key = match &statement.key {
             None => None,
             Some(Key::Told(key)) => Some(key.clone()),
-            Some(Key::Parameter(at)) => key_of(arguments.as_deref().unwrap_or_default(), statement, *at)?,
+            Some(Key::Parameter(at)) => match &arguments {
+                Some(arguments) => key_of(arguments, statement, *at)?,
+                None => None,
+            },
         };
         shared.requests += 1;
         let id: RequestId = format!("mysql-{:x}", shared.requests).into();
-        self.deadline = now + statement.deadline;
+        self.deadline = now + statement.deadline.min(shared.desk.limits.allow);
         self.open = Some(id.clone());
         let ask = Ask {
             door: shared.desk.door,
--- a/src/front/mysql/setup.rs
+++ b/src/front/mysql/setup.rs
@@ -125,6 +125,9 @@
         names.push(alias.unwrap_or(variable).trim_matches('`'));
         values.push(*value);
     }
+    if names.len() > 250 {
+        return not_supported("so many variables"); // their count is one byte here
+    }
     rows(&names, Some(&values))
 }
 
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -200,7 +200,7 @@
         door: shared.desk.door,
         id: id.into(),
         class,
-        deadline: now + allow / 1000.0,
+        deadline: now + (allow / 1000.0).min(shared.desk.limits.allow),
         estimate: number(call, "X-Size-Ms")?.filter(|ms| *ms > 0.0),
         memory: number(call, "X-Est-Mb")?.filter(|mb| *mb > 0.0),
         tables: sql::tables(statement).unwrap_or(-1),
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -14,6 +14,8 @@
     pub fields: usize,
     /// Body of one call.
     pub body: usize,
+    /// The longest that a request is worked on, however long its client would wait.
+    pub allow: f64,
     /// A client connection without an open request is closed after this.
     pub client_idle: f64,
     /// A refused connection that is being closed gets this long to read its answer.
@@ -67,12 +69,20 @@
     pub watch: f64,
     /// Pause before Consul, or a peer of the store, is tried again.
     pub again: f64,
+    /// How often a peer of the store is brought up to date.
+    pub sync: f64,
+    /// Connections of the store, of peers and operators.
+    pub replicas: usize,
+    /// Keys in the store.
+    pub entries: usize,
+    /// A value in the store.
+    pub entry: usize,
     /// From SIGTERM until no new connection is taken.
     pub farewell: f64,
 }
 
 /// Share of the descriptors that clients may hold.
-const CLIENT_SHARE: f64 = 0.5;
+const CLIENT_SHARE: f64 = 0.4;
 /// The same for MySQL sessions.
 const SESSION_SHARE: f64 = 0.1;
 /// Share of the engines' idle limit after which the daemon closes first: a send must not cross their close.
@@ -93,9 +103,10 @@
             head: 16 << 10,
             fields: 100,
             body: 128 << 10,
+            allow: 120.0,
             client_idle: 60.0,
             linger: 1.0,
-            unread: 256 << 10,
+            unread: 64 << 10,
             sessions: (sockets * SESSION_SHARE) as usize,
             session_idle: 28_800.0,
             statements: 256,
@@ -106,7 +117,7 @@
             page: 6_000,
             pages: 64,
             frame: 16 << 10,
-            unwritten: 1 << 20,
+            unwritten: 256 << 10,
             streams: num(held, "streamsPerConn", 100.0)?.max(1.0) as usize,
             pool: 16,
             engine_sessions: 16,
@@ -119,6 +130,10 @@
             list: 1 << 20,
             watch: 30.0,
             again: 1.0,
+            sync: 10.0,
+            replicas: 16,
+            entries: 64,
+            entry: 128 << 10,
             farewell: 1.0,
         })
     }
--- a/src/link/resp/mod.rs
+++ b/src/link/resp/mod.rs
@@ -1,14 +1,15 @@
 //! Attempts over the platform's engine protocol: many on a connection, answers in any order, results in
 //! pages.
 
-mod frame;
+mod reply;
 
 use super::Engines;
 use crate::core::{Call, Ending, Link, News};
 use crate::limits::Limits;
+use crate::net::resp::{array, Malformed};
 use crate::net::{Channel, Connection, Flow, Poller, Ready, Table, Time, Timers, Token};
 use dahliaspoke::interface::{EngineId, Lifecycle, Report, RequestId};
-use frame::{command, Malformed, Reply, Word};
+use reply::{Reply, Word};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -195,7 +196,7 @@
         }
         line.echoes.push((now + self.shared.limits.echo, id.clone()));
         let word: &[u8] = if run.pages.is_empty() { b"DROP" } else { b"CLOSE" };
-        line.channel.push(command(&[word, id.as_bytes()]));
+        line.channel.push(array(&[word, id.as_bytes()]));
         self.settle(now, token);
         false
     }
@@ -203,7 +204,7 @@
     fn rank(&mut self, now: Time, id: &RequestId, attempt: u32, rank: u8) {
         let Some(token) = self.calls.get(&(id.clone(), attempt)).copied() else { return };
         let Some(line) = self.table.get(token).filter(|line| line.running.contains_key(id)) else { return };
-        line.channel.push(command(&[b"RANK", id.as_bytes(), rank.to_string().as_bytes()]));
+        line.channel.push(array(&[b"RANK", id.as_bytes(), rank.to_string().as_bytes()]));
         self.settle(now, token);
     }
 }
@@ -219,7 +220,7 @@
         fields += &format!(",pool={}", memory.ceil());
     }
     fields += &format!(",band={}", call.rank);
-    command(&[b"GET", call.id.as_bytes(), fields.as_bytes(), &call.work.statement])
+    array(&[b"GET", call.id.as_bytes(), fields.as_bytes(), &call.work.statement])
 }
 
 fn ended(id: &RequestId, attempt: u32, ending: Ending, report: Option<Report>) -> News {
@@ -236,7 +237,7 @@
     fn readable(&mut self, now: Time, shared: &mut Shared) -> Flow {
         let mut at = 0;
         let flow = loop {
-            match frame::read(&self.channel.input[at..], &shared.limits) {
+            match reply::read(&self.channel.input[at..], &shared.limits) {
                 Ok(Some((reply, length))) => {
                     at += length;
                     if self.reply(now, reply, shared).is_err() {
@@ -307,7 +308,7 @@
         run.missing = total;
         run.report = report;
         for index in 1..total {
-            self.channel.push(command(&[b"PAGE", id.as_bytes(), index.to_string().as_bytes()]));
+            self.channel.push(array(&[b"PAGE", id.as_bytes(), index.to_string().as_bytes()]));
         }
         Ok(())
     }
@@ -333,7 +334,7 @@
         }
         let (pages, report) = (std::mem::take(&mut run.pages), run.report);
         if pages.len() > 1 {
-            self.channel.push(command(&[b"CLOSE", id.as_bytes()]));
+            self.channel.push(array(&[b"CLOSE", id.as_bytes()]));
         }
         self.end(now, &id, Ending::Served(pages.into_iter().flatten().collect()), report, shared);
         Ok(())
--- a/src/link/resp/frame.rs
+++ b/src/link/resp/reply.rs
@@ -1,12 +1,9 @@
-//! RESP arrays of bulk strings, and the commands and answers that are worded in them.
+//! An engine's answers.
 
 use crate::limits::Limits;
+use crate::net::resp::{self, Malformed, Most};
 use dahliaspoke::interface::{Note, Report};
 
-/// The bytes are no answer.
-#[derive(Debug, PartialEq, Eq)]
-pub struct Malformed;
-
 /// What an answer says.
 #[derive(Debug, PartialEq)]
 pub enum Word {
@@ -35,61 +32,13 @@
 
 /// Values in an answer: its id, its word, its fields, its body.
 const VALUES: usize = 4;
-/// Bytes of a length line; longer ones are no lengths.
-const LENGTH: usize = 16;
-
-/// A command, encoded.
-pub fn command(values: &[&[u8]]) -> Vec<u8> {
-    let mut out = format!("*{}\r\n", values.len()).into_bytes();
-    for value in values {
-        out.extend_from_slice(format!("${}\r\n", value.len()).as_bytes());
-        out.extend_from_slice(value);
-        out.extend_from_slice(b"\r\n");
-    }
-    out
-}
-
 /// The answer at the start of the input and the bytes it took, once all of it is here.
 pub fn read(input: &[u8], limits: &Limits) -> Result<Option<(Reply, usize)>, Malformed> {
-    let Some((count, mut at)) = line(input, 0, b'*')? else { return Ok(None) };
-    if count != VALUES {
-        return Err(Malformed);
-    }
-    let mut values = [&input[..0]; VALUES];
-    for value in &mut values {
-        let Some((length, start)) = line(input, at, b'$')? else { return Ok(None) };
-        if length > limits.frame {
-            return Err(Malformed);
-        }
-        let end = start + length;
-        match input.get(end..end + 2) {
-            Some(b"\r\n") => {}
-            Some(_) => return Err(Malformed),
-            None => return Ok(None),
-        }
-        *value = &input[start..end];
-        at = end + 2;
-    }
-    Ok(Some((reply(values)?, at)))
-}
-
-/// A line of a mark and a number at `at`: the number, and where the next line starts.
-fn line(input: &[u8], at: usize, mark: u8) -> Result<Option<(usize, usize)>, Malformed> {
-    let rest = &input[at.min(input.len())..];
-    let Some(first) = rest.first() else { return Ok(None) };
-    if *first != mark {
-        return Err(Malformed);
-    }
-    let window = &rest[..rest.len().min(LENGTH)];
-    let Some(end) = window.windows(2).position(|w| w == b"\r\n") else {
-        return if rest.len() >= LENGTH { Err(Malformed) } else { Ok(None) };
+    let Some((values, length)) = resp::read(input, Most { values: VALUES, bytes: limits.frame })? else {
+        return Ok(None);
     };
-    let digits = &window[1..end];
-    if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
-        return Err(Malformed);
-    }
-    let number = std::str::from_utf8(digits).ok().and_then(|d| d.parse().ok()).ok_or(Malformed)?;
-    Ok(Some((number, at + end + 2)))
+    let values = values.try_into().map_err(|_| Malformed)?;
+    Ok(Some((reply(values)?, length)))
 }
 
 fn reply([id, word, fields, body]: [&[u8]; VALUES]) -> Result<Reply, Malformed> {
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod mysql;
 mod net;
+mod store;
 
 use std::process::ExitCode;
 
--- a/src/membership/consul/mod.rs
+++ b/src/membership/consul/mod.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Holds this list from here on.
+    pub fn hold(&mut self, members: Members) {
+        self.members = members;
+    }
+
     pub fn next(&self) -> Time {
         match self.watch {
             Watch::Waits(_, until) | Watch::Rests(until) => until,
--- a/src/membership/dns/mod.rs
+++ b/src/membership/dns/mod.rs
@@ -40,6 +40,11 @@
         Ok(Self { socket, limits, members, serial, query: 0, at: 0.0, bad: 0 })
     }
 
+    /// Holds this list from here on.
+    pub fn hold(&mut self, members: Members) {
+        self.members = members;
+    }
+
     pub fn next(&self) -> Time {
         self.at
     }
--- a/src/membership/known.rs
+++ b/src/membership/known.rs
@@ -3,7 +3,7 @@
 use super::{started, Member, Members};
 use dahliaspoke::interface::{EngineEntry, Lifecycle};
 use dahliaspoke::settings::{field, flag, list, num, object, part, word, Res};
-use serde_json::{Map, Value};
+use serde_json::{json, Map, Value};
 
 /// The list after all events, and the number of the last.
 pub fn read(config: &Map<String, Value>) -> Res<(u32, Members)> {
@@ -22,6 +22,26 @@
     Ok((num(known, "n", 0.0)? as u32, members))
 }
 
+/// The form in which servers stand in events.
+pub fn write(members: &Members) -> String {
+    let server = |m: Member| {
+        let state = if m.entry.lifecycle == Lifecycle::Ready { "active" } else { "leaving" };
+        json!({"id": &*m.entry.id, "addr": m.address.map(|a| a.to_string()), "zone": &*m.entry.zone,
+            "kind": &*m.entry.kind, "cell": m.entry.cell, "state": state,
+            "started_ms": m.entry.started.map_or(0.0, |s| (s * 1000.0).round())})
+    };
+    Value::from(members.all().into_iter().map(server).collect::<Vec<_>>()).to_string()
+}
+
+/// Servers in that form.
+pub fn servers(text: &str) -> Res<Members> {
+    let value: Value = serde_json::from_str(text).map_err(|e| format!("not JSON: {e}"))?;
+    let list = value.as_array().ok_or("the servers are not a list")?;
+    let mut members = Members::default();
+    members.replace(list.iter().map(member).collect::<Res<_>>()?);
+    Ok(members)
+}
+
 fn member(value: &Value) -> Res<Member> {
     let map = object(value, "a server")?;
     let lifecycle = match word(map, "state", "active")? {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,9 +1,11 @@
-//! The event loop's parts: epoll, connection objects with callbacks, buffers, timers, the clock.
+//! The event loop's parts: epoll, connection objects with callbacks, buffers, timers, the clock, and
+//! the framing that more than one part speaks.
 
 mod channel;
 mod clock;
 mod listener;
 mod poller;
+pub mod resp;
 mod table;
 mod timers;
 
--- a/tests/daemon/mod.rs
+++ b/tests/daemon/mod.rs
@@ -42,6 +42,7 @@
     pub lines: Receiver<String>,
     pub http: Option<SocketAddr>,
     pub mysql: Option<SocketAddr>,
+    pub store: Option<SocketAddr>,
     folder: PathBuf,
 }
 
@@ -70,6 +71,17 @@
         for (name, text) in files {
             std::fs::write(folder.join("deploy").join(name), text).expect("written");
         }
+        Self::run(folder)
+    }
+
+    /// Starts it again with what it has left behind.
+    pub fn again(mut self) -> Self {
+        let folder = std::mem::take(&mut self.folder);
+        drop(self);
+        Self::run(folder)
+    }
+
+    fn run(folder: PathBuf) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_dahliaspoke"))
             .current_dir(&folder)
             .env("NODE_CONFIG", folder.join("config.json"))
@@ -80,12 +92,14 @@
         let (send, lines) = channel();
         let stdout = BufReader::new(child.stdout.take().expect("piped"));
         std::thread::spawn(move || stdout.lines().map_while(Result::ok).try_for_each(|line| send.send(line)));
-        let mut daemon = Self { child, lines, http: None, mysql: None, folder };
+        let mut daemon = Self { child, lines, http: None, mysql: None, store: None, folder };
         // It tells of its doors, the platform's last; where the configuration is bad it ends instead.
         while let Ok(line) = daemon.lines.recv_timeout(PATIENCE) {
             let address = line.rsplit(' ').next().and_then(|a| a.parse().ok());
             if line.contains("speaks MySQL on") {
                 daemon.mysql = address;
+            } else if line.contains("stores on") {
+                daemon.store = address;
             } else if line.contains("listens on") {
                 daemon.http = address;
                 break;
@@ -116,7 +130,9 @@
     fn drop(&mut self) {
         let _ = self.child.kill(); // it may have ended
         let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
+        if self.folder.is_absolute() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
     }
 }
 
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -1,8 +1,10 @@
 //! Plays the recorded byte exchanges in `tests/exchanges` against the program. A step a line:
 //!
-//! - `start e1 e2`: the program starts and knows these engines; `mysql` and `consul` switch these on;
+//! - `start e1 e2`: the program starts and knows these engines; `mysql`, `consul` and
+//!   `store` switch these on; `again`: the program starts once more, with what it has left behind;
 //! - `a > bytes`, `a < bytes`: client `a` of the platform's front sends, or receives exactly that;
-//!   `m...` is a client of the MySQL front, `e...` an engine, `names` the directory, `consul` its agent;
+//!   `m...` is a client of the MySQL front, `e...` an engine, `names` the directory, `consul` its agent, `p...` a
+//!   peer of the store, `s...` an operator's connection to it;
 //! - `a ended`, `a close`: its connection was ended, or it ends it; `e1 next`: the engine's next connection;
 //! - `e1 gone`: nobody listens there any more;
 //! - `signal USR1`, `line text`, `exit 0`: a signal; a line on standard output; the program's end.
@@ -96,7 +98,11 @@
                 Some(engine) => engine.listener.accept().expect("a connection").0,
                 None => {
                     let daemon = self.daemon.as_ref().expect("started");
-                    let door = if who.starts_with('m') { daemon.mysql } else { daemon.http };
+                    let door = match who.as_bytes()[0] {
+                        b'm' => daemon.mysql,
+                        b's' => daemon.store,
+                        _ => daemon.http,
+                    };
                     TcpStream::connect(door.expect("that door is open")).expect("connected")
                 }
             };
@@ -144,7 +150,7 @@
         match (first, verb) {
             ("start", _) => {
                 let parts: Vec<&str> = rest.split(' ').collect();
-                let listens = parts.iter().filter(|part| part.starts_with('e') || **part == "consul");
+                let listens = parts.iter().filter(|part| part.starts_with(['e', 'p']) || **part == "consul");
                 self.engines = listens.map(|id| (id.to_string(), Named::new(id))).collect();
                 self.ports = self.engines.iter().map(|(id, e)| (id.clone(), e.address().port())).collect();
                 // `e9` is not known at the start: only a list tells of it.
@@ -161,10 +167,17 @@
                     let text = format!("agent = \"{agent}\"\nservice = \"query\"\nregister = \"gateway\"\n");
                     files.push(("consul.toml", text));
                 }
+                if parts.contains(&"store") {
+                    let peers = self.engines.values().filter(|e| e.id.starts_with('p'));
+                    let list = peers.map(|p| format!("\"{}\"", p.address())).collect::<Vec<_>>().join(", ");
+                    let text = format!("listen = \"127.0.0.1:0\"\npath = \"store.json\"\npeers = [{list}]\n");
+                    files.push(("store.toml", text));
+                }
                 let config = config(&known, self.names.local_addr().expect("bound"));
                 self.daemon = Some(Daemon::start(&config, &files));
             }
             ("signal", name) => self.daemon.as_ref().expect("started").signal(name),
+            ("again", _) => self.daemon = self.daemon.take().map(Daemon::again),
             ("line", _) => drop(self.daemon.as_ref().expect("started").line(rest)),
             ("exit", code) => {
                 let status = self.daemon.as_mut().expect("started").child.wait().expect("it ends");
