--- a/src/choice.rs
+++ b/src/choice.rs
@@ -619,6 +619,9 @@
         let recall = (RECALL * expected).max(RECALL_LEAST);
         let aim = class.aim + class.aim_stretch * sigma;
         let patience = if self.settings.may_cancel { recall } else { recall.max(PATIENCE_AIMS * aim) };
+        // A reader that goes where a load holds its tables does so for want of a better place, and waits.
+        let held = class.yields_to_loads && self.engines[&id].holds(now, request.query.tables);
+        let patience = patience + if held { self.load_time() } else { 0.0 };
         let more = (request.attempts.len() as u32 + 1) < self.settings.max_attempts;
         let retried = class.effect == Effect::Repeatable && more && patience + usual < left;
         let timeout = retried.then_some(patience);
@@ -803,11 +806,13 @@
                 true
             }
             (Note::WaitsForLoad, _) => {
+                tried.noted = None; // it stands still: no pace until it goes on
                 if let Some(engine) = self.engines.get_mut(&tried.engine) {
                     engine.holds.insert(tables, now + HOLDS_FOR * load);
                 }
                 elsewhere
             }
+            (Note::Done(share), _) if tried.noted.is_none() && share <= 0.0 => false, // it still waits
             (Note::Done(share), _) => {
                 let (since, had) = *tried.noted.get_or_insert((now, share));
                 let rest = (now - since) * (1.0 - share) / (share - had).max(0.01);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -327,4 +327,10 @@
     assert_ne!(first, second);
     let again = Event::Noted { id: "r".into(), attempt: 1, note: Note::WaitsForLoad };
     assert!(w.event(again).is_empty(), "both engines hold: it waits for the load");
+    // Its notes tell of no progress while it stands still: calling it off would only spend its attempts.
+    for _ in 0..4 {
+        w.now += 0.5;
+        let still = Event::Noted { id: "r".into(), attempt: 1, note: Note::Done(0.0) };
+        assert!(w.event(still).is_empty());
+    }
 }
