--- a/src/choice.rs
+++ b/src/choice.rs
@@ -493,7 +493,10 @@
             let backlog = e.backlog();
             let crowd = (gateways / e.cores).min(1.0);
             let alone = backlog == 0.0 && part * crowd * request.cost <= left;
-            let idle = e.load.util.filter(|_| e.last_error >= 0.0).map_or(0.0, |u| (1.0 - u).clamp(0.0, 1.0));
+            // Where loads hold tables cores idle as well; what is let in only waits there, with its memory.
+            let flowing = e.last_error >= 0.0 && e.holds.is_empty();
+            let util = e.load.util.filter(|_| flowing).unwrap_or(1.0);
+            let idle = (1.0 - util).clamp(0.0, 1.0);
             alone || backlog + request.cost <= e.bound * room * (1.0 + IDLE_ROOM * idle)
         };
         order.into_iter().map(|(_, e)| e).find(fits).map(|e| e.entry.id.clone())
