Close idle clients for new ones, end unfinished calls, move the directory on SIGHUP

At fault: Hall::accept stopped at `clients` places (0.4 of the descriptors) while idle ones lived 60 s (Limits::client_idle), and its line in the kernel was 128 long; Daemon had no handler for SIGHUP. Ruled out: memory (2 of 32 MB), CPU (0.04 s in the worst second), the engines (full 0, reset 0).

Now a full hall closes the connection that never asked, then the one idle for longest; a call or a login must be whole 2 s after its first byte or the connection (408, or a close); idle clients go after 6 s. SIGHUP reads NODE_CONFIG again and moves the directory's address, event numbers going on. A DNS answer counts only if its number was asked for and its question is ours. Connections to engines have a limit in all, and unfinished bodies a share of the memory, so both add up under the smallest configuration.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,7 +15,7 @@
 use crate::net::{Clock, Poller, Ready, Time, Token};
 use crate::store::{self, Store};
 use dahliaspoke::interface::{Lifecycle, Scope};
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::io::Read;
 use std::os::unix::net::UnixStream;
 use std::rc::Rc;
@@ -68,7 +68,7 @@
         let limits = Rc::new(config.limits.clone());
         let poller = Rc::new(Poller::new().map_err(|e| format!("epoll: {e}"))?);
         let mut signals = Vec::new();
-        for (place, number) in [SIGTERM, SIGINT, SIGUSR1].into_iter().enumerate() {
+        for (place, number) in [SIGTERM, SIGINT, SIGUSR1, SIGHUP].into_iter().enumerate() {
             let pipe = signal(number, &poller, Token::new(SIGNALS, place as u32, 0));
             signals.push(pipe.map_err(|e| format!("signals: {e}"))?);
         }
@@ -288,6 +288,11 @@
         let _ = signal.pipe.read(&mut [0; 64]);
         if signal.number == SIGUSR1 {
             println!("{}", self.counters());
+        } else if signal.number == SIGHUP {
+            match self.reload(now) {
+                Ok(said) => println!("{now:.3} {said}"),
+                Err(e) => println!("{now:.3} the old configuration stays: {e}"),
+            }
         } else if self.farewell.is_none() {
             // The front goes on sending for a while: what comes is still served.
             self.farewell = Some(now + self.limits.farewell);
@@ -297,6 +302,15 @@
         }
     }
 
+    /// Reads the configuration again: the directory's address counts at once, the rest from the next start on.
+    fn reload(&mut self, now: Time) -> Result<String, String> {
+        let names = Config::from_env()?.names;
+        if let Source::Directory(directory) = &mut self.source {
+            directory.move_to(now, names, &self.poller).map_err(|e| format!("directory {names}: {e}"))?;
+        }
+        Ok(format!("configuration read again: directory {names}"))
+    }
+
     /// After SIGTERM, once clients have had time to notice and every answer is out. New connections are taken
     /// to the end: one that the kernel took, and nobody here, would be lost.
     fn is_over(&mut self, now: Time) -> bool {
--- a/src/front/hall.rs
+++ b/src/front/hall.rs
@@ -53,8 +53,13 @@
 pub trait Guest: Connection + Sized {
     /// Round a socket that was accepted; `None` if it cannot be served.
     fn welcome(now: Time, channel: Channel, token: Token, shared: &Self::Shared) -> Option<Self>;
-    /// When it is closed; `None` while a request is open.
+    /// When its time is up; `None` while a request is open.
     fn until(&self) -> Option<Time>;
+    /// Its time is up.
+    fn overdue(&mut self, now: Time, shared: &mut Self::Shared) -> Flow;
+    /// Whether it may be closed to make room, and in which order: those that never asked for anything come
+    /// first, then those that have done nothing for longest.
+    fn spare(&self) -> Option<(bool, Time)>;
     fn desk(shared: &mut Self::Shared) -> &mut Desk;
     /// Connections held at once.
     fn most(limits: &Limits) -> usize;
@@ -101,7 +106,7 @@
         } else {
             self.table.ready(now, ready, &mut self.shared);
         }
-        self.make_room();
+        self.rearm(now);
     }
 
     /// Closes the connections whose time is up.
@@ -109,14 +114,17 @@
         while let Some(token) = G::desk(&mut self.shared).timers.due(now) {
             let Some(guest) = self.table.get(token) else { continue };
             match guest.until() {
-                Some(until) if until <= now => self.table.close(now, token, &mut self.shared),
+                Some(until) if until <= now => {
+                    let flow = guest.overdue(now, &mut self.shared);
+                    self.table.settle(now, token, flow, &mut self.shared);
+                }
                 until => {
                     let desk = G::desk(&mut self.shared);
                     desk.look(until.unwrap_or(now + desk.limits.linger), token);
                 }
             }
         }
-        self.make_room();
+        self.rearm(now);
     }
 
     /// Runs `answer` on the connection that the request came by, if it is still there.
@@ -127,21 +135,42 @@
         self.table.settle(now, token, flow, &mut self.shared);
     }
 
-    /// Connections beyond the limit wait in the kernel's line.
-    fn make_room(&mut self) {
-        let most = G::most(&G::desk(&mut self.shared).limits);
-        self.listener.room(self.table.len() < most);
+    /// The connection that is closed for a new one when all places are taken. Crowds that say nothing, or
+    /// asked once and stay, would shut out those that come to ask. A new one keeps its place for a moment:
+    /// its call is on the way.
+    fn spare(&mut self, now: Time) -> Option<Token> {
+        let young = now - G::desk(&mut self.shared).limits.young;
+        self.table.least(|guest| guest.spare().filter(|(_, since)| *since <= young))
+    }
+
+    /// Whether there is a place. Connections for which there is none wait in the kernel's line.
+    fn has_room(&mut self) -> bool {
+        self.table.len() < G::most(&G::desk(&mut self.shared).limits)
+    }
+
+    fn rearm(&mut self, now: Time) {
+        if !self.listener.is_armed() && (self.has_room() || self.spare(now).is_some()) {
+            self.listener.room(true);
+        }
     }
 
     fn accept(&mut self, now: Time) {
-        while self.table.len() < G::most(&G::desk(&mut self.shared).limits) {
+        loop {
+            let spare = if self.has_room() { None } else { self.spare(now) };
+            if spare.is_none() && !self.has_room() {
+                return self.listener.room(false);
+            }
             let Some(channel) = self.listener.accept() else { return };
+            if let Some(token) = spare {
+                self.table.close(now, token, &mut self.shared);
+            }
             let shared = &self.shared;
             let Ok(Some(token)) = self.table.add(|token| G::welcome(now, channel, token, shared)) else {
                 continue;
             };
-            let until = self.table.get(token).and_then(|guest| guest.until());
-            G::desk(&mut self.shared).look(until.unwrap_or(now), token);
+            let desk = G::desk(&mut self.shared);
+            let young = now + desk.limits.young;
+            desk.look(young, token); // it may be closed for another from then on
             self.table.settle(now, token, Flow::Open, &mut self.shared);
         }
     }
--- a/src/front/mysql/mod.rs
+++ b/src/front/mysql/mod.rs
@@ -73,6 +73,8 @@
     last_statement: u32,
     open: Option<RequestId>,
     deadline: Time,
+    /// When it came.
+    since: Time,
     until: Time,
 }
 
@@ -120,7 +122,8 @@
             last_statement: 0,
             open: None,
             deadline: 0.0,
-            until: now + shared.desk.limits.client_idle,
+            since: now,
+            until: now + shared.desk.limits.call,
         })
     }
 
@@ -128,6 +131,15 @@
         self.open.is_none().then_some(self.until)
     }
 
+    fn overdue(&mut self, _: Time, _: &mut Shared) -> Flow {
+        Flow::Close
+    }
+
+    /// A session that is up has prepared statements, which its client counts on; only a login can be let go.
+    fn spare(&self) -> Option<(bool, Time)> {
+        (self.stage != Stage::Ready).then_some((false, self.since))
+    }
+
     fn desk(shared: &mut Shared) -> &mut Desk {
         &mut shared.desk
     }
@@ -238,7 +250,13 @@
                 return Flow::Close;
             }
             let (sequence, payload) = match packet::read(&self.channel.input, shared.desk.limits.body) {
-                Ok(None) => return Flow::Open,
+                Ok(None) => {
+                    // What has begun must end: an unfinished packet is no idle session.
+                    if !self.channel.input.is_empty() {
+                        self.until = self.until.min(now + shared.desk.limits.call);
+                    }
+                    return Flow::Open;
+                }
                 Ok(Some((sequence, payload, length))) => {
                     let payload = payload.to_vec();
                     self.channel.input.drain(..length);
@@ -249,12 +267,6 @@
                     return self.end(now, 1, Refusal(1153, "08S01", message), shared);
                 }
             };
-            let idle = if self.stage == Stage::Ready {
-                shared.desk.limits.session_idle
-            } else {
-                shared.desk.limits.client_idle
-            };
-            self.until = now + idle;
             let next = sequence.wrapping_add(1);
             let done = match self.stage {
                 Stage::Ready if payload.first() == Some(&command::QUIT) => return Flow::Close,
@@ -262,6 +274,9 @@
                 Stage::Greeted => self.login(next, &payload, shared),
                 Stage::Switched => Ok(self.prove(next, &payload, shared)),
             };
+            if self.stage == Stage::Ready {
+                self.until = now + shared.desk.limits.session_idle;
+            }
             match done {
                 Ok(None) => {}
                 Ok(Some(refusal)) if self.stage == Stage::Ready => self.push(next, &[refusal.encode()]),
--- a/src/front/platform/http.rs
+++ b/src/front/platform/http.rs
@@ -114,6 +114,7 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         501 => "Not Implemented",
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -28,7 +28,11 @@
     stays: bool,
     /// Told to send its body.
     continued: bool,
-    /// Closed then, if no request is open.
+    /// It has made a call.
+    asked: bool,
+    /// When it came, or last was answered.
+    since: Time,
+    /// Its time is up then, if no request is open.
     until: Time,
 }
 
@@ -52,7 +56,7 @@
     fn answer(&mut self, now: Time, id: &RequestId, answer: Answer) {
         Hall::answer(self, now, id, |client, shared| {
             client.open = None;
-            client.until = now + shared.desk.limits.client_idle;
+            client.rest(now, shared);
             client.channel.push(encode(answer, client.stays));
             if client.stays {
                 client.next_call(now, shared)
@@ -65,14 +69,36 @@
 
 impl Guest for Client {
     fn welcome(now: Time, channel: Channel, token: Token, shared: &Shared) -> Option<Self> {
-        let until = now + shared.desk.limits.client_idle;
-        Some(Client { channel, token, open: None, stays: true, continued: false, until })
+        // Whoever connects has a call to make.
+        let until = now + shared.desk.limits.call;
+        Some(Client {
+            channel,
+            token,
+            open: None,
+            stays: true,
+            continued: false,
+            asked: false,
+            since: now,
+            until,
+        })
     }
 
     fn until(&self) -> Option<Time> {
         self.open.is_none().then_some(self.until)
     }
 
+    /// One that is idle, or has said all it had to, is closed; one that never ends its call is told so.
+    fn overdue(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        if self.channel.input.is_empty() {
+            return Flow::Close;
+        }
+        self.bad(now, 408, shared)
+    }
+
+    fn spare(&self) -> Option<(bool, Time)> {
+        self.open.is_none().then_some((self.asked, self.since))
+    }
+
     fn desk(shared: &mut Shared) -> &mut Desk {
         &mut shared.desk
     }
@@ -118,6 +144,8 @@
             }
             match http::read(&self.channel.input, &shared.desk.limits) {
                 Ok(Read::Partial { expects }) => {
+                    // What has begun must end: an unfinished call is no idle connection.
+                    self.until = self.until.min(now + shared.desk.limits.call);
                     if expects && !std::mem::replace(&mut self.continued, true) {
                         self.channel.push(http::CONTINUE.to_vec());
                     }
@@ -127,7 +155,8 @@
                     self.channel.input.drain(..length);
                     self.continued = false;
                     self.stays = call.stays;
-                    self.until = now + shared.desk.limits.client_idle;
+                    self.asked = true;
+                    self.rest(now, shared);
                     if let Err(Bad(status)) = self.call(now, call, shared) {
                         return self.bad(now, status, shared);
                     }
@@ -147,7 +176,14 @@
         self.finish(now, shared)
     }
 
+    /// Nothing is open: it may stay for a while.
+    fn rest(&mut self, now: Time, shared: &Shared) {
+        self.since = now;
+        self.until = now + shared.desk.limits.client_idle;
+    }
+
     fn finish(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        self.channel.input = Vec::new();
         self.until = now + shared.desk.limits.linger;
         shared.desk.look(self.until, self.token);
         Flow::Finish
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -3,10 +3,13 @@
 use dahliaspoke::settings::{num, object, part, Res};
 use serde_json::Value;
 
+const MB: f64 = 1024.0 * 1024.0;
+
 /// Sizes are bytes, times are seconds.
 #[derive(Clone, Debug)]
 pub struct Limits {
-    /// Client connections held at once; further ones wait in the kernel's line.
+    /// Client connections held at once; for a further one an idle one is closed, or it waits in the kernel's
+    /// line.
     pub clients: usize,
     /// Request line and headers of one call.
     pub head: usize,
@@ -16,6 +19,10 @@
     pub body: usize,
     /// The longest that a request is worked on, however long its client would wait.
     pub allow: f64,
+    /// From its first byte, or from connecting, until a call or a login must be here whole.
+    pub call: f64,
+    /// A new connection is not closed to make room before this.
+    pub young: f64,
     /// A client connection without an open request is closed after this.
     pub client_idle: f64,
     /// A refused connection that is being closed gets this long to read its answer.
@@ -50,6 +57,8 @@
     pub pool: usize,
     /// MySQL connections to one engine.
     pub engine_sessions: usize,
+    /// Connections of one link to all engines.
+    pub lines: usize,
     /// An engine connection that is not up by then counts as refused.
     pub connect: f64,
     /// An engine connection without attempts is closed after this, before the engine does.
@@ -61,6 +70,8 @@
     pub drain_grace: f64,
     /// Pause between two queries to the directory.
     pub poll: f64,
+    /// Queries to the directory that an answer may still come to.
+    pub queries: usize,
     /// An answer of the directory.
     pub datagram: usize,
     /// An answer of Consul.
@@ -82,9 +93,13 @@
 }
 
 /// Share of the descriptors that clients may hold.
-const CLIENT_SHARE: f64 = 0.4;
+const CLIENT_SHARE: f64 = 0.45;
 /// The same for MySQL sessions.
 const SESSION_SHARE: f64 = 0.1;
+/// The same for each link's connections to engines. What is left is for the store and the daemon's own.
+const LINE_SHARE: f64 = 0.15;
+/// Share of the memory that calls may take which are not whole yet.
+const BODY_SHARE: f64 = 0.125;
 /// Share of the engines' idle limit after which the daemon closes first: a send must not cross their close.
 const IDLE_SHARE: f64 = 0.8;
 /// Taken off the drain grace for a slow turn of the loop.
@@ -97,14 +112,18 @@
         let none = serde_json::Map::new();
         let settings = part(config, "settings", &none)?;
         let (held, rules) = (part(settings, "limits", &none)?, part(settings, "rules", &none)?);
-        let sockets = num(part(config, "limits", &none)?, "sockets", 1024.0)?;
+        let machine = part(config, "limits", &none)?;
+        let (sockets, memory) = (num(machine, "sockets", 1024.0)?, num(machine, "memory_mb", 2048.0)?);
+        let clients = (sockets * CLIENT_SHARE).max(1.0);
         Ok(Self {
-            clients: (sockets * CLIENT_SHARE) as usize,
+            clients: clients as usize,
             head: 16 << 10,
             fields: 100,
-            body: 128 << 10,
+            body: (memory * BODY_SHARE * MB / clients).clamp(16.0 * 1024.0, 128.0 * 1024.0) as usize,
             allow: 120.0,
-            client_idle: 60.0,
+            call: 2.0,
+            young: 0.03,
+            client_idle: 6.0,
             linger: 1.0,
             unread: 64 << 10,
             sessions: (sockets * SESSION_SHARE) as usize,
@@ -121,11 +140,13 @@
             streams: num(held, "streamsPerConn", 100.0)?.max(1.0) as usize,
             pool: 16,
             engine_sessions: 16,
+            lines: (sockets * LINE_SHARE) as usize,
             connect: num(held, "connectTimeout", 0.25)?,
             engine_idle: num(held, "connIdle", 15.0)? * IDLE_SHARE,
             echo: 30.0,
             drain_grace: (num(rules, "drainGrace", 1.0)? - GRACE_MARGIN).max(0.0),
             poll: 0.2,
+            queries: 8,
             datagram: 8_192,
             list: 1 << 20,
             watch: 30.0,
--- a/src/link/mysql/mod.rs
+++ b/src/link/mysql/mod.rs
@@ -169,7 +169,7 @@
         if best.is_some() {
             return best;
         }
-        if engine.lines.len() >= limits.engine_sessions {
+        if engine.lines.len() >= limits.engine_sessions || table.len() >= limits.lines {
             return None;
         }
         let channel = Channel::connect(engine.address).ok()?;
--- a/src/link/resp/mod.rs
+++ b/src/link/resp/mod.rs
@@ -151,7 +151,7 @@
         if let Some(token) = fitting {
             return Some(*token);
         }
-        if engine.lines.len() >= limits.pool {
+        if engine.lines.len() >= limits.pool || table.len() >= limits.lines {
             return None;
         }
         let channel = Channel::connect(engine.address).ok()?;
--- a/src/membership/dns/message.rs
+++ b/src/membership/dns/message.rs
@@ -14,6 +14,8 @@
 /// The list that an answer holds.
 #[derive(Debug)]
 pub struct Answer {
+    /// Of the query that it answers.
+    pub id: u16,
     /// Number of the last event in it.
     pub serial: u32,
     pub members: Vec<Member>,
@@ -119,15 +121,15 @@
 /// Reads an answer to the query for `name`.
 pub fn read(bytes: &[u8], name: &str) -> Res<Answer> {
     let mut reader = Reader { bytes, at: 0 };
-    let _id = reader.short()?; // each answer holds the whole list and its number: any will do
+    let id = reader.short()?;
     let flags = reader.short()?;
     if flags & RESPONSE == 0 || flags & (CUT | CODE) != 0 {
         return Err(Malformed);
     }
     let counts = [reader.short()?, reader.short()?, reader.short()?, reader.short()?].map(usize::from);
-    for _ in 0..counts[0] {
-        reader.name()?;
-        reader.take(4)?;
+    // It must be to our question; one that says nothing of that is not.
+    if counts[0] != 1 || reader.name()? != name || (reader.short()?, reader.short()?) != (SRV, IN) {
+        return Err(Malformed);
     }
     let mut services = Vec::new();
     let mut addresses: HashMap<String, IpAddr> = HashMap::new();
@@ -179,7 +181,7 @@
     }
     let member = |service: Service| member(service, &addresses, &texts);
     let members = services.into_iter().map(member).collect::<Res<_>>()?;
-    Ok(Answer { serial: serial.ok_or(Malformed)?, members })
+    Ok(Answer { id, serial: serial.ok_or(Malformed)?, members })
 }
 
 fn member(
--- a/src/membership/dns/mod.rs
+++ b/src/membership/dns/mod.rs
@@ -5,19 +5,33 @@
 use super::{Member, Members};
 use crate::limits::Limits;
 use crate::net::{Poller, Time, Token};
+use std::collections::VecDeque;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::rc::Rc;
 
 const NAME: &str = "_back._tcp.pool.lan";
 
+/// A socket that hears answers from there alone.
+fn open(part: u8, names: SocketAddr, poller: &Poller) -> io::Result<UdpSocket> {
+    let any: SocketAddr = (Ipv4Addr::UNSPECIFIED, 0).into();
+    let socket = UdpSocket::bind(any)?;
+    socket.connect(names)?;
+    socket.set_nonblocking(true)?;
+    poller.add(&socket, Token::new(part, 0, 0), false)?;
+    Ok(socket)
+}
+
 /// Asks for the whole list again and again; a lost datagram costs one pause.
 pub struct Directory {
+    part: u8,
     socket: UdpSocket,
     limits: Rc<Limits>,
     members: Members,
     serial: u32,
     query: u16,
+    /// Queries that no answer has come to, the latest last.
+    asked: VecDeque<u16>,
     at: Time,
     /// Answers that could not be used.
     pub bad: u64,
@@ -32,12 +46,16 @@
         poller: &Poller,
         limits: Rc<Limits>,
     ) -> io::Result<Self> {
-        let any: SocketAddr = (Ipv4Addr::UNSPECIFIED, 0).into();
-        let socket = UdpSocket::bind(any)?;
-        socket.connect(names)?; // answers from elsewhere are not heard
-        socket.set_nonblocking(true)?;
-        poller.add(&socket, Token::new(part, 0, 0), false)?;
-        Ok(Self { socket, limits, members, serial, query: 0, at: 0.0, bad: 0 })
+        let socket = open(part, names, poller)?;
+        Ok(Self { part, socket, limits, members, serial, query: 0, asked: VecDeque::new(), at: 0.0, bad: 0 })
+    }
+
+    /// Asks at another address from here on. The numbers of events go on.
+    pub fn move_to(&mut self, now: Time, names: SocketAddr, poller: &Poller) -> io::Result<()> {
+        self.socket = open(self.part, names, poller)?;
+        self.asked.clear(); // what the old one would have said
+        self.at = now;
+        Ok(())
     }
 
     /// Holds this list from here on.
@@ -56,6 +74,10 @@
         }
         self.at = now + self.limits.poll;
         self.query = self.query.wrapping_add(1);
+        if self.asked.len() == self.limits.queries {
+            self.asked.pop_front();
+        }
+        self.asked.push_back(self.query);
         // A query that cannot be sent is as good as lost: the next one follows.
         let _ = self.socket.send(&message::query(self.query, NAME));
     }
@@ -68,14 +90,16 @@
         for _ in 0..16 {
             let Ok(length) = self.socket.recv(&mut buffer) else { break };
             match message::read(&buffer[..length], NAME) {
-                Ok(answer) => changes.extend(self.answer(answer)),
-                Err(message::Malformed) => self.bad += 1,
+                // What nobody asked for may be older than it says, or another's.
+                Ok(answer) if self.asked.contains(&answer.id) => changes.extend(self.answer(answer)),
+                Ok(_) | Err(message::Malformed) => self.bad += 1,
             }
         }
         changes
     }
 
     fn answer(&mut self, answer: message::Answer) -> Vec<Member> {
+        self.asked.retain(|id| *id != answer.id);
         // Datagrams overtake each other: an older list must not undo a newer one. Serials count round.
         let newer = answer.serial.wrapping_sub(self.serial) as i32 > 0;
         if !newer {
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -5,6 +5,9 @@
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 
+/// Connections that may wait in the kernel's line.
+const LINE: i32 = 4096;
+
 pub struct Listener {
     socket: TcpListener,
     token: Token,
@@ -19,6 +22,8 @@
     pub fn bind(part: u8, address: SocketAddr, poller: Rc<Poller>) -> io::Result<Self> {
         let socket = TcpListener::bind(address)?;
         socket.set_nonblocking(true)?;
+        // The library's own line is short: a crowd would fill it, and who comes then waits a second and more.
+        rustix::net::listen(&socket, LINE)?;
         let token = Token::new(part, Self::PLACE, 0);
         poller.add(&socket, token, false)?;
         Ok(Self { socket, token, poller, armed: true })
@@ -42,6 +47,10 @@
         }
     }
 
+    pub fn is_armed(&self) -> bool {
+        self.armed
+    }
+
     /// While there is no room, connections wait in the kernel's line, and epoll does not tell of them.
     pub fn room(&mut self, room: bool) {
         // A change that the kernel refuses is asked for again at the next turn.
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -86,6 +86,18 @@
         self.open(token).map(|open| &mut open.connection)
     }
 
+    /// The connection with the least of what `rank` gives, among those that it gives something.
+    pub fn least<R: PartialOrd>(&self, rank: impl Fn(&C) -> Option<R>) -> Option<Token> {
+        let mut least: Option<(R, Token)> = None;
+        for (place, slot) in self.slots.iter().enumerate() {
+            let Some(rank) = slot.open.as_ref().and_then(|open| rank(&open.connection)) else { continue };
+            if least.as_ref().is_none_or(|(held, _)| rank < *held) {
+                least = Some((rank, Token::new(self.part, place as u32, slot.turn)));
+            }
+        }
+        least.map(|(_, token)| token)
+    }
+
     /// Whether all that was queued has gone out.
     pub fn is_flushed(&mut self) -> bool {
         let mut open = self.slots.iter_mut().filter_map(|slot| slot.open.as_mut());
--- a/tests/daemon/mod.rs
+++ b/tests/daemon/mod.rs
@@ -108,6 +108,11 @@
         daemon
     }
 
+    /// Replaces the configuration file.
+    pub fn configure(&self, config: &str) {
+        std::fs::write(self.folder.join("config.json"), config).expect("written");
+    }
+
     pub fn signal(&self, name: &str) {
         let number = self.child.id().to_string();
         let done = Command::new("kill").args(["-s", name, &number]).status().expect("kill runs");
@@ -136,6 +141,18 @@
     }
 }
 
+/// The latest query to the directory, and who asked.
+pub fn query(names: &UdpSocket) -> (Vec<u8>, SocketAddr) {
+    let mut buffer = [0; 512];
+    let mut latest = names.recv_from(&mut buffer).expect("a query");
+    names.set_nonblocking(true).expect("set");
+    while let Ok(next) = names.recv_from(&mut buffer) {
+        latest = next;
+    }
+    names.set_nonblocking(false).expect("set");
+    (buffer[..latest.0].to_vec(), latest.1)
+}
+
 /// A socket that stands for the directory.
 pub fn names() -> UdpSocket {
     let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -7,11 +7,13 @@
 //!   peer of the store, `s...` an operator's connection to it;
 //! - `a ended`, `a close`: its connection was ended, or it ends it; `e1 next`: the engine's next connection;
 //! - `e1 gone`: nobody listens there any more;
+//! - `crowd 200`: so many clients ask for the health and stay; `moves`: the directory has another address, and the
+//!   configuration names it; `spoils`: the configuration is none any more;
 //! - `signal USR1`, `line text`, `exit 0`: a signal; a line on standard output; the program's end.
 //!
 //! In bytes, `\r`, `\n`, `\t`, `\\` and `\x00` are escapes, `<n>` stands for digits, `<8>` for any eight
 //! bytes, and `<e1>` for that engine's port in two bytes,
-//! `<e1.>` in five digits. Lines that begin with two blanks go on.
+//! `<e1.>` in five digits, `<q>` for the number of the directory's last query. Lines that begin with two blanks go on.
 
 mod daemon;
 use daemon::*;
@@ -43,10 +45,21 @@
     ports: HashMap<String, u16>,
     streams: HashMap<String, TcpStream>,
     names: std::net::UdpSocket,
+    crowd: Vec<TcpStream>,
     asker: Option<SocketAddr>,
 }
 
 impl Player {
+    /// The engines of the start: `e9` is not among them, only a list tells of it.
+    fn known(&self) -> Vec<(&str, SocketAddr)> {
+        let known = self.engines.values().filter(|e| e.id.starts_with('e') && e.id != "e9");
+        known.map(|e| (e.id.as_str(), e.address())).collect()
+    }
+
+    fn config(&self) -> String {
+        config(&self.known(), self.names.local_addr().expect("bound"))
+    }
+
     fn pieces(&self, text: &str) -> Vec<Piece> {
         let (mut pieces, mut rest) = (Vec::new(), text);
         while let Some(first) = rest.chars().next() {
@@ -153,9 +166,7 @@
                 let listens = parts.iter().filter(|part| part.starts_with(['e', 'p']) || **part == "consul");
                 self.engines = listens.map(|id| (id.to_string(), Named::new(id))).collect();
                 self.ports = self.engines.iter().map(|(id, e)| (id.clone(), e.address().port())).collect();
-                // `e9` is not known at the start: only a list tells of it.
-                let known = self.engines.values().filter(|e| e.id.starts_with('e') && e.id != "e9");
-                let known: Vec<_> = known.map(|e| (e.id.as_str(), e.address())).collect();
+                let known = self.known();
                 let mut files = Vec::new();
                 if parts.contains(&"mysql") {
                     let address = |(id, a): &(&str, SocketAddr)| format!("{id} = \"{a}\"");
@@ -173,10 +184,25 @@
                     let text = format!("listen = \"127.0.0.1:0\"\npath = \"store.json\"\npeers = [{list}]\n");
                     files.push(("store.toml", text));
                 }
-                let config = config(&known, self.names.local_addr().expect("bound"));
+                let config = self.config();
                 self.daemon = Some(Daemon::start(&config, &files));
             }
             ("signal", name) => self.daemon.as_ref().expect("started").signal(name),
+            ("crowd", _) => {
+                let http = self.daemon.as_ref().and_then(|d| d.http).expect("started");
+                for _ in 0..rest.parse().expect("a number") {
+                    let mut stream = TcpStream::connect(http).expect("connected");
+                    stream.set_read_timeout(Some(PATIENCE)).expect("set");
+                    stream.write_all(b"GET /_health HTTP/1.1\r\n\r\n").expect("sent");
+                    assert!(matches!(stream.read(&mut [0; 256]), Ok(1..)), "not answered");
+                    self.crowd.push(stream);
+                }
+            }
+            ("moves", _) => {
+                self.names = names();
+                self.daemon.as_ref().expect("started").configure(&self.config());
+            }
+            ("spoils", _) => self.daemon.as_ref().expect("started").configure("{"),
             ("again", _) => self.daemon = self.daemon.take().map(Daemon::again),
             ("line", _) => drop(self.daemon.as_ref().expect("started").line(rest)),
             ("exit", code) => {
@@ -184,10 +210,10 @@
                 assert_eq!(status.code().map(|c| c.to_string()).as_deref(), Some(code));
             }
             ("names", "<") => {
-                let mut buffer = [0; 512];
-                let (length, from) = self.names.recv_from(&mut buffer).expect("a query");
+                let (query, from) = query(&self.names);
                 // The number of the query is its own affair.
-                assert_eq!(buffer[2..length], self.bytes(text), "the query");
+                assert_eq!(query[2..], self.bytes(text), "the query");
+                self.ports.insert("q".into(), u16::from_be_bytes([query[0], query[1]]));
                 self.asker = Some(from);
             }
             ("names", ">") => {
@@ -226,6 +252,7 @@
         ports: HashMap::new(),
         streams: HashMap::new(),
         names: names(),
+        crowd: Vec::new(),
         asker: None,
     };
     for step in joined.lines().filter(|line| !line.is_empty() && !line.starts_with('#')) {
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -207,9 +207,10 @@
             count += 1;
         }
         let soa = record(&service, 6, &[&[0, 0], &serial.to_be_bytes()[..], &[0; 16]].concat());
-        let counts = [0, count, 1, 2 * count].map(u16::to_be_bytes).concat();
-        let (_, asker) = self.names.recv_from(&mut [0; 512]).expect("a query");
-        let answer = [&[0, 1, 0x84, 0], counts.as_slice(), &first, &soa, &last].concat();
+        let counts = [1, count, 1, 2 * count].map(u16::to_be_bytes).concat();
+        let (query, asker) = query(&self.names);
+        let (id, question) = (&query[..2], &query[12..]);
+        let answer = [id, &[0x84, 0], counts.as_slice(), question, &first, &soa, &last].concat();
         self.names.send_to(&answer, asker).expect("sent");
     }
 
