Give each attempt an engine connection of its own; end half answers; move unsent calls

Ruled out: membership (spread 5 of 5), CPU (0.06 s a second).

At fault: Resp::line_for put up to 100 attempts on the first connection that fitted, so one spoilt answer took all of them along; Line::data and Line::page took a second copy for noise and did the same; an answer that stopped halfway held up what came behind it until each attempt's own time was up.

Now an attempt takes an idle connection, or a new one while the descriptors last, and shares only then. An answer must be whole, and its next page here, in 0.5 s. A call called off on a connection that has said nothing since ends that connection. Calls of which no byte went out when an established connection ended go by another once; having no place for a call is `full`, no proof that the engine cannot be reached. Rows that are not whole end the connection too. Second copies are passed over.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -11,7 +11,7 @@
 use crate::membership::consul::{self, Consul};
 use crate::membership::dns::Directory;
 use crate::membership::{known, Member, Members};
-use crate::mysql::config::Mysql;
+use crate::mysql::{self, config::Mysql};
 use crate::net::{Clock, Poller, Ready, Time, Token};
 use crate::store::{self, Store};
 use dahliaspoke::interface::{Lifecycle, Scope};
@@ -65,6 +65,8 @@
     pub fn start(mut config: Config) -> Result<Self, String> {
         let clock = Clock::new();
         let now = clock.now();
+        let is_there = |file: &str| std::path::Path::new(file).exists();
+        config.limits.share_out(is_there(mysql::config::FILE), is_there(store::FILE));
         let limits = Rc::new(config.limits.clone());
         let poller = Rc::new(Poller::new().map_err(|e| format!("epoll: {e}"))?);
         let mut signals = Vec::new();
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -51,6 +51,8 @@
     pub frame: usize,
     /// Bytes that one engine's connection may leave unwritten; beyond it nothing more is queued.
     pub unwritten: usize,
+    /// From an engine's first byte of an answer, or from one page, until the rest or the next must be here.
+    pub answer: f64,
     /// Attempts on one engine connection.
     pub streams: usize,
     /// Connections to one engine.
@@ -96,8 +98,8 @@
 const CLIENT_SHARE: f64 = 0.45;
 /// The same for MySQL sessions.
 const SESSION_SHARE: f64 = 0.1;
-/// The same for each link's connections to engines. What is left is for the store and the daemon's own.
-const LINE_SHARE: f64 = 0.15;
+/// Descriptors of the daemon's own: listeners, signals, the directory, standard streams.
+const OWN: usize = 24;
 /// Share of the memory that calls may take which are not whole yet.
 const BODY_SHARE: f64 = 0.125;
 /// Share of the engines' idle limit after which the daemon closes first: a send must not cross their close.
@@ -106,6 +108,12 @@
 const GRACE_MARGIN: f64 = 0.1;
 
 impl Limits {
+    /// Leaves to each link's connections to engines what the doors that are open do not need.
+    pub fn share_out(&mut self, mysql: bool, store: bool) {
+        let taken = if mysql { self.sessions } else { 0 } + if store { self.replicas } else { 0 };
+        self.lines = self.lines.saturating_sub(taken) / if mysql { 2 } else { 1 };
+    }
+
     /// From the platform's configuration; what it does not name has a value here.
     pub fn from_config(config: &Value) -> Res<Self> {
         let config = object(config, "the configuration")?;
@@ -137,10 +145,11 @@
             pages: 64,
             frame: 16 << 10,
             unwritten: 256 << 10,
+            answer: 0.5,
             streams: num(held, "streamsPerConn", 100.0)?.max(1.0) as usize,
-            pool: 16,
+            pool: 128,
             engine_sessions: 16,
-            lines: (sockets * LINE_SHARE) as usize,
+            lines: ((sockets - clients) as usize).saturating_sub(OWN),
             connect: num(held, "connectTimeout", 0.25)?,
             engine_idle: num(held, "connIdle", 15.0)? * IDLE_SHARE,
             echo: 30.0,
--- a/src/link/mysql/mod.rs
+++ b/src/link/mysql/mod.rs
@@ -193,7 +193,8 @@
     fn start(&mut self, now: Time, call: Call) {
         let token = self.line_for(now, &call);
         let Some(line) = token.and_then(|t| self.table.get(t)) else {
-            let (id, attempt, ending, report) = (call.id, call.attempt, Ending::NotSent, None);
+            // There is no place for it here, which says nothing of whether the engine can be reached.
+            let (id, attempt, ending, report) = (call.id, call.attempt, Ending::Full, None);
             return self.shared.news.push_back(News::Ended { id, attempt, ending, report });
         };
         let token = line.token;
--- a/src/link/resp/mod.rs
+++ b/src/link/resp/mod.rs
@@ -17,6 +17,8 @@
 enum Alarm {
     /// A connection must be up by now, or has been idle.
     Connection(Token),
+    /// An answer that has begun there must be whole.
+    Answer(Token),
     /// Nothing may begin to go to this engine any more.
     Drained(EngineId),
 }
@@ -25,12 +27,17 @@
 struct Shared {
     limits: Rc<Limits>,
     news: VecDeque<News>,
+    /// Calls of which no byte went out before their connection ended; they go by another one.
+    again: Vec<Call>,
     timers: Timers<Alarm>,
 }
 
 /// An attempt on its connection.
 struct Running {
-    attempt: u32,
+    call: Call,
+    sent: Time,
+    /// It was to go by another connection before.
+    moved: bool,
     /// By which its request can be taken back from the output.
     tag: u64,
     pages: Vec<Option<Vec<u8>>>,
@@ -48,6 +55,12 @@
     echoes: Vec<(Time, RequestId)>,
     /// While it connects, when it must be up; later, when it has been idle too long.
     until: Time,
+    /// When an answer that has begun must be whole.
+    answer_by: Time,
+    /// When bytes last came.
+    heard: Time,
+    /// Something that was sent here found no answer: nothing more is sent.
+    stale: bool,
 }
 
 /// The connections to all engines.
@@ -61,7 +74,7 @@
 
 impl Resp {
     pub fn new(part: u8, poller: Rc<Poller>, limits: Rc<Limits>) -> Self {
-        let shared = Shared { limits, news: VecDeque::new(), timers: Timers::default() };
+        let shared = Shared { limits, news: VecDeque::new(), again: Vec::new(), timers: Timers::default() };
         Self { table: Table::new(part, poller), engines: Engines::default(), calls: HashMap::new(), shared }
     }
 
@@ -79,6 +92,7 @@
 
     pub fn ready(&mut self, now: Time, ready: Ready) {
         self.table.ready(now, ready, &mut self.shared);
+        self.send_again(now);
     }
 
     /// Follows the list of engines. `address` is absent where the list does not tell it.
@@ -93,9 +107,16 @@
         while let Some(alarm) = self.shared.timers.due(now) {
             match alarm {
                 Alarm::Connection(token) => self.line_alarm(now, token),
+                Alarm::Answer(token) => {
+                    // What stopped halfway goes no further, and nothing behind it is heard.
+                    if self.table.get(token).is_some_and(|line| line.answer_by <= now) {
+                        self.table.close(now, token, &mut self.shared);
+                    }
+                }
                 Alarm::Drained(id) => self.drained(now, &id),
             }
         }
+        self.send_again(now);
     }
 
     fn line_alarm(&mut self, now: Time, token: Token) {
@@ -122,7 +143,7 @@
             running.retain(|id, run| {
                 let unsent = channel.take_back(run.tag);
                 if unsent {
-                    self.shared.news.push_back(ended(id, run.attempt, Ending::NotSent, None));
+                    self.shared.news.push_back(ended(id, run.call.attempt, Ending::NotSent, None));
                 }
                 !unsent
             });
@@ -132,7 +153,8 @@
         }
     }
 
-    /// A connection to the engine with room for the call, or a new one.
+    /// An idle connection to the engine, or a new one, or the one that has least to do: whatever ends a
+    /// connection takes all attempts on it along, so each has one of its own while there are enough.
     fn line_for(&mut self, now: Time, call: &Call) -> Option<Token> {
         let limits = self.shared.limits.clone();
         let engine = self.engines.get_mut(&call.engine)?;
@@ -144,19 +166,39 @@
         let fits = |line: &mut Line| {
             line.echoes.retain(|echo| echo.0 > now);
             let room = line.running.len() < limits.streams && line.channel.queued() < limits.unwritten;
+            let room = room && !line.stale;
             let apart = !line.running.contains_key(&call.id) && line.echoes.iter().all(|e| e.1 != call.id);
             room && apart
         };
-        let fitting = engine.lines.iter().find(|token| table.get(**token).is_some_and(fits));
-        if let Some(token) = fitting {
-            return Some(*token);
+        let mut best: Option<(usize, Token)> = None;
+        for token in &engine.lines {
+            let Some(line) = table.get(*token) else { continue };
+            let load = line.running.len();
+            if best.is_none_or(|(least, _)| load < least) && fits(line) {
+                best = Some((load, *token));
+            }
         }
-        if engine.lines.len() >= limits.pool || table.len() >= limits.lines {
+        let full = engine.lines.len() >= limits.pool || table.len() >= limits.lines;
+        if let Some((load, token)) = best {
+            if load == 0 || full {
+                return Some(token);
+            }
+        }
+        if full {
             return None;
         }
         let channel = Channel::connect(engine.address).ok()?;
         let until = now + limits.connect;
-        let line = |token| Line { channel, token, running: HashMap::new(), echoes: Vec::new(), until };
+        let line = |token| Line {
+            channel,
+            token,
+            running: HashMap::new(),
+            echoes: Vec::new(),
+            until,
+            answer_by: Time::INFINITY,
+            heard: now,
+            stale: false,
+        };
         let token = table.add(|token| Some(line(token))).ok()??;
         self.shared.timers.set(until, Alarm::Connection(token));
         engine.lines.push(token);
@@ -166,23 +208,39 @@
     fn settle(&mut self, now: Time, token: Token) {
         self.table.settle(now, token, Flow::Open, &mut self.shared);
     }
-}
 
-impl Link for Resp {
-    fn start(&mut self, now: Time, call: Call) {
+    fn begin(&mut self, now: Time, call: Call, moved: bool) {
+        let open = self.engines.get(&call.engine).is_some_and(|engine| !engine.is_closed(now));
         let token = self.line_for(now, &call);
         let Some(line) = token.and_then(|t| self.table.get(t)) else {
-            return self.shared.news.push_back(ended(&call.id, call.attempt, Ending::NotSent, None));
+            // That there is no place for it here says nothing of whether the engine can be reached.
+            let ending = if open { Ending::Full } else { Ending::NotSent };
+            return self.shared.news.push_back(ended(&call.id, call.attempt, ending, None));
         };
         let token = line.token;
         let tag = line.channel.push(request(now, &call));
-        let run =
-            Running { attempt: call.attempt, tag, pages: Vec::new(), missing: 0, size: 0, report: None };
-        line.running.insert(call.id.clone(), run);
-        self.calls.insert((call.id, call.attempt), token);
+        self.calls.insert((call.id.clone(), call.attempt), token);
+        let (pages, missing, size, report) = (Vec::new(), 0, 0, None);
+        let run = Running { sent: now, moved, tag, pages, missing, size, report, call };
+        line.running.insert(run.call.id.clone(), run);
         self.settle(now, token);
     }
 
+    /// A connection that ended before a call went out says nothing of the engine: the call goes by another,
+    /// once.
+    fn send_again(&mut self, now: Time) {
+        while let Some(call) = self.shared.again.pop() {
+            self.begin(now, call, true);
+        }
+    }
+}
+
+impl Link for Resp {
+    fn start(&mut self, now: Time, call: Call) {
+        self.begin(now, call, false);
+        self.send_again(now);
+    }
+
     fn drop_call(&mut self, now: Time, id: &RequestId, attempt: u32) -> bool {
         // Its end may be on its way to the core already; the core passes over what comes second.
         let Some(token) = self.calls.remove(&(id.clone(), attempt)) else { return false };
@@ -194,6 +252,12 @@
         if line.channel.take_back(run.tag) {
             return true;
         }
+        // Silent since, or stopped in the middle: it may be of no more use.
+        line.stale |= line.heard < run.sent || !line.channel.input.is_empty();
+        if line.stale && line.running.is_empty() {
+            self.table.close(now, token, &mut self.shared); // which gives the attempt up
+            return false;
+        }
         line.echoes.push((now + self.shared.limits.echo, id.clone()));
         let word: &[u8] = if run.pages.is_empty() { b"DROP" } else { b"CLOSE" };
         line.channel.push(array(&[word, id.as_bytes()]));
@@ -235,6 +299,7 @@
     }
 
     fn readable(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        self.heard = now;
         let mut at = 0;
         let flow = loop {
             match reply::read(&self.channel.input[at..], &shared.limits) {
@@ -249,6 +314,13 @@
             }
         };
         self.channel.input.drain(..at);
+        let begun = !self.channel.input.is_empty() || self.running.values().any(|run| run.missing > 0);
+        if !begun {
+            self.answer_by = Time::INFINITY;
+        } else if at > 0 || self.answer_by == Time::INFINITY {
+            self.answer_by = now + shared.limits.answer;
+            shared.timers.set(self.answer_by, Alarm::Answer(self.token));
+        }
         flow
     }
 
@@ -261,8 +333,12 @@
     fn closed(&mut self, _: Time, shared: &mut Shared) {
         for (id, run) in self.running.drain() {
             let unsent = self.channel.take_back(run.tag);
+            if unsent && !run.moved && !self.channel.connecting {
+                shared.again.push(run.call);
+                continue;
+            }
             let ending = if unsent { Ending::NotSent } else { Ending::Broken };
-            shared.news.push_back(ended(&id, run.attempt, ending, None));
+            shared.news.push_back(ended(&id, run.call.attempt, ending, None));
         }
     }
 }
@@ -271,7 +347,7 @@
     fn reply(&mut self, now: Time, reply: Reply, shared: &mut Shared) -> Result<(), Malformed> {
         // Late answers to what was dropped.
         let Some((id, run)) = self.running.get_key_value(reply.id.as_str()) else { return Ok(()) };
-        let (id, attempt) = (id.clone(), run.attempt);
+        let (id, attempt) = (id.clone(), run.call.attempt);
         let ending = match reply.word {
             Word::Full => Ending::Full,
             Word::Failed => Ending::Error,
@@ -282,7 +358,9 @@
             }
             Word::Health => return Err(Malformed),
             Word::Data { total } => {
-                self.data(&id, total, reply.report, shared)?;
+                if !self.data(&id, total, reply.report, shared)? {
+                    return Ok(());
+                }
                 return self.page(now, id, 0, reply.body, shared);
             }
             Word::Page { index } => return self.page(now, id, index, reply.body, shared),
@@ -291,16 +369,19 @@
         Ok(())
     }
 
-    /// The result is ready: asks for all further pages at once.
+    /// The result is ready: asks for all further pages at once. False for a second copy, which harms nothing.
     fn data(
         &mut self,
         id: &RequestId,
         total: usize,
         report: Option<Report>,
         shared: &Shared,
-    ) -> Result<(), Malformed> {
+    ) -> Result<bool, Malformed> {
         let run = self.running.get_mut(id).ok_or(Malformed)?;
-        if !run.pages.is_empty() || total > shared.limits.pages {
+        if !run.pages.is_empty() {
+            return Ok(false);
+        }
+        if total > shared.limits.pages {
             return Err(Malformed);
         }
         let total = total.max(1); // the first page is here in any case
@@ -310,7 +391,7 @@
         for index in 1..total {
             self.channel.push(array(&[b"PAGE", id.as_bytes(), index.to_string().as_bytes()]));
         }
-        Ok(())
+        Ok(true)
     }
 
     fn page(
@@ -322,8 +403,11 @@
         shared: &mut Shared,
     ) -> Result<(), Malformed> {
         let run = self.running.get_mut(&id).ok_or(Malformed)?;
+        let place = run.pages.get_mut(index).ok_or(Malformed)?;
+        if place.is_some() {
+            return Ok(()); // a second copy
+        }
         run.size += body.len();
-        let place = run.pages.get_mut(index).filter(|page| page.is_none()).ok_or(Malformed)?;
         if body.len() > shared.limits.page || run.size > shared.limits.result {
             return Err(Malformed);
         }
@@ -349,7 +433,11 @@
         shared: &mut Shared,
     ) {
         let Some(run) = self.running.remove(id) else { return };
-        shared.news.push_back(ended(id, run.attempt, ending, report));
+        if !matches!(ending, Ending::Served(_)) {
+            // A second copy of this end must not be taken for one of the next attempt.
+            self.echoes.push((now + shared.limits.echo, id.clone()));
+        }
+        shared.news.push_back(ended(id, run.call.attempt, ending, report));
         if self.running.is_empty() {
             self.until = now + shared.limits.engine_idle;
         }
--- a/src/link/resp/reply.rs
+++ b/src/link/resp/reply.rs
@@ -32,6 +32,9 @@
 
 /// Values in an answer: its id, its word, its fields, its body.
 const VALUES: usize = 4;
+/// Columns of every row.
+const COLUMNS: usize = 3;
+
 /// The answer at the start of the input and the bytes it took, once all of it is here.
 pub fn read(input: &[u8], limits: &Limits) -> Result<Option<(Reply, usize)>, Malformed> {
     let Some((values, length)) = resp::read(input, Most { values: VALUES, bytes: limits.frame })? else {
@@ -55,12 +58,19 @@
         _ => return Err(Malformed),
     };
     let rows = matches!(word, Word::Data { .. } | Word::Page { .. });
-    if rows && text(body)?.chars().any(|c| c == '\r') {
+    if rows && !is_table(text(body)?) {
         return Err(Malformed);
     }
     Ok(Reply { id: text(id)?.into(), word, report: fields.report()?, body: body.to_vec() })
 }
 
+/// Whole rows of the wire's three text columns: spoilt ones must not be passed on.
+fn is_table(body: &str) -> bool {
+    let whole = body.is_empty() || body.ends_with('\n');
+    let row = |row: &str| row.matches('\t').count() == COLUMNS - 1;
+    whole && body.split_terminator('\n').all(row) && !body.contains(['\r', '\0', char::REPLACEMENT_CHARACTER])
+}
+
 /// `name=value,name=value`, or `-` for none.
 struct Fields<'a>(&'a str);
 
--- a/src/net/channel.rs
+++ b/src/net/channel.rs
@@ -113,13 +113,14 @@
 
     /// Reads once.
     pub fn fill(&mut self) -> io::Result<Fill> {
-        let held = self.input.len();
-        self.input.resize(held + READ, 0);
-        let read = self.stream.read(&mut self.input[held..]);
-        self.input.truncate(held + read.as_ref().map_or(0, |n| *n));
-        match read {
+        // Read elsewhere first: a connection holds no more memory than what has come.
+        let mut buffer = [0; READ];
+        match self.stream.read(&mut buffer) {
             Ok(0) => Ok(Fill::End),
-            Ok(_) => Ok(Fill::Bytes),
+            Ok(count) => {
+                self.input.extend_from_slice(&buffer[..count]);
+                Ok(Fill::Bytes)
+            }
             Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
                 Ok(Fill::Nothing)
             }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -5,6 +5,7 @@
 //! - `a > bytes`, `a < bytes`: client `a` of the platform's front sends, or receives exactly that;
 //!   `m...` is a client of the MySQL front, `e...` an engine, `names` the directory, `consul` its agent, `p...` a
 //!   peer of the store, `s...` an operator's connection to it;
+//! - `e1+` is another connection to that engine, beside the first;
 //! - `a ended`, `a close`: its connection was ended, or it ends it; `e1 next`: the engine's next connection;
 //! - `e1 gone`: nobody listens there any more;
 //! - `crowd 200`: so many clients ask for the health and stay; `moves`: the directory has another address, and the
@@ -107,7 +108,7 @@
 
     fn stream(&mut self, who: &str) -> &mut TcpStream {
         if !self.streams.contains_key(who) {
-            let stream = match self.engines.get(who) {
+            let stream = match self.engines.get(who.trim_end_matches('+')) {
                 Some(engine) => engine.listener.accept().expect("a connection").0,
                 None => {
                     let daemon = self.daemon.as_ref().expect("started");
