A reset proves no restart: unsent calls move on, resets count half, notes are heard

At fault: Line::closed called a connection that was reset while it came up, or twice in a row, NotSent, which the module takes for a restart and rations the engine for 15 s (Gateway::judge, `unreached`); a reset counted as the slowest service, so a few ejected a sound engine and the load it left ejected the next; and last_heard knew outcomes alone, so an engine whose notes came all the time was silent to it.

Now such a call goes on to another connection, four times at most; only refused and timed-out connects are `unreachable`. A reset counts 5 instead of 10. Notes count as being heard.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -44,6 +44,7 @@
 const COLD_CAUTION: f64 = 0.45; // share of the cold budget used: the turns of two windows can fall into one
 const GHOST_TIMES: f64 = 2.0; // expected delays for which abandoned work counts in the backlog
 const SLOWDOWN_MOST: f64 = 10.0; // most that one outcome counts in an engine's slowdown (ratio)
+const RESET_SLOWDOWN: f64 = 5.0; // what a reset counts: connections break at sound engines too
 const PATIENCE_AIMS: f64 = 4.0; // time-out (aims) where abandoned work runs on and a repeat doubles it
 const COME_BACK_AIMS: f64 = 0.25; // come-back time (aims), jittered by half either way
 const TICK: f64 = 0.1; // housekeeping (s): how soon silence is seen
@@ -790,6 +791,9 @@
         if attempt as usize + 1 != request.attempts.len() || !request.out() || request.finished {
             return;
         }
+        if let Some(engine) = self.engines.get_mut(&request.attempts[attempt as usize].engine) {
+            engine.last_heard = now;
+        }
         let safe = self.settings.classes[request.query.class].effect == Effect::Repeatable;
         let moves = !matches!(note, Note::Done(_)); // these leave one try in hand for failures
         let more = attempt + 1 + u32::from(moves) < self.settings.max_attempts && self.within_budget(now);
@@ -890,7 +894,7 @@
             engine.ddr_sum += if ran { ddr.min(DDR_CAP) } else { DDR_CAP };
             engine.ddr_count += 1;
         }
-        let mut slow = SLOWDOWN_MOST;
+        let mut slow = if outcome == Outcome::Reset { RESET_SLOWDOWN } else { SLOWDOWN_MOST };
         if ran {
             slow = (delay / expected / slowness).min(SLOWDOWN_MOST);
             class.slowness.add(slow.min(EJECT_TIMES) * slowness, SLOWNESS_STEP);
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -53,6 +53,8 @@
     pub unwritten: usize,
     /// From an engine's first byte of an answer, or from one page, until the rest or the next must be here.
     pub answer: f64,
+    /// Times that a call which has not gone out is moved from a connection that ended to another.
+    pub moves: usize,
     /// Attempts on one engine connection.
     pub streams: usize,
     /// Connections to one engine.
@@ -146,6 +148,7 @@
             frame: 16 << 10,
             unwritten: 256 << 10,
             answer: 0.5,
+            moves: 4,
             streams: num(held, "streamsPerConn", 100.0)?.max(1.0) as usize,
             pool: 128,
             engine_sessions: 16,
--- a/src/link/resp/mod.rs
+++ b/src/link/resp/mod.rs
@@ -28,7 +28,7 @@
     limits: Rc<Limits>,
     news: VecDeque<News>,
     /// Calls of which no byte went out before their connection ended; they go by another one.
-    again: Vec<Call>,
+    again: Vec<(Call, usize)>,
     timers: Timers<Alarm>,
 }
 
@@ -36,8 +36,8 @@
 struct Running {
     call: Call,
     sent: Time,
-    /// It was to go by another connection before.
-    moved: bool,
+    /// Connections that ended before it went out.
+    moves: usize,
     /// By which its request can be taken back from the output.
     tag: u64,
     pages: Vec<Option<Vec<u8>>>,
@@ -155,12 +155,10 @@
 
     /// An idle connection to the engine, or a new one, or the one that has least to do: whatever ends a
     /// connection takes all attempts on it along, so each has one of its own while there are enough.
-    fn line_for(&mut self, now: Time, call: &Call) -> Option<Token> {
+    fn line_for(&mut self, now: Time, call: &Call) -> Result<Token, Ending> {
         let limits = self.shared.limits.clone();
-        let engine = self.engines.get_mut(&call.engine)?;
-        if engine.is_closed(now) {
-            return None;
-        }
+        let engine = self.engines.get_mut(&call.engine).filter(|e| !e.is_closed(now));
+        let engine = engine.ok_or(Ending::NotSent)?;
         let table = &mut self.table;
         engine.lines.retain(|token| table.get(*token).is_some());
         let fits = |line: &mut Line| {
@@ -181,13 +179,14 @@
         let full = engine.lines.len() >= limits.pool || table.len() >= limits.lines;
         if let Some((load, token)) = best {
             if load == 0 || full {
-                return Some(token);
+                return Ok(token);
             }
         }
+        // That there is no place for it here says nothing of whether the engine can be reached.
         if full {
-            return None;
+            return Err(Ending::Full);
         }
-        let channel = Channel::connect(engine.address).ok()?;
+        let channel = Channel::connect(engine.address).map_err(|_| Ending::NotSent)?;
         let until = now + limits.connect;
         let line = |token| Line {
             channel,
@@ -199,45 +198,44 @@
             heard: now,
             stale: false,
         };
-        let token = table.add(|token| Some(line(token))).ok()??;
+        let token = table.add(|token| Some(line(token))).ok().flatten().ok_or(Ending::Full)?;
         self.shared.timers.set(until, Alarm::Connection(token));
         engine.lines.push(token);
-        Some(token)
+        Ok(token)
     }
 
     fn settle(&mut self, now: Time, token: Token) {
         self.table.settle(now, token, Flow::Open, &mut self.shared);
     }
 
-    fn begin(&mut self, now: Time, call: Call, moved: bool) {
-        let open = self.engines.get(&call.engine).is_some_and(|engine| !engine.is_closed(now));
-        let token = self.line_for(now, &call);
-        let Some(line) = token.and_then(|t| self.table.get(t)) else {
-            // That there is no place for it here says nothing of whether the engine can be reached.
-            let ending = if open { Ending::Full } else { Ending::NotSent };
-            return self.shared.news.push_back(ended(&call.id, call.attempt, ending, None));
+    fn begin(&mut self, now: Time, call: Call, moves: usize) {
+        let token = match self.line_for(now, &call) {
+            Ok(token) => token,
+            Err(ending) => {
+                return self.shared.news.push_back(ended(&call.id, call.attempt, ending, None));
+            }
         };
-        let token = line.token;
+        let Some(line) = self.table.get(token) else { return };
         let tag = line.channel.push(request(now, &call));
         self.calls.insert((call.id.clone(), call.attempt), token);
         let (pages, missing, size, report) = (Vec::new(), 0, 0, None);
-        let run = Running { sent: now, moved, tag, pages, missing, size, report, call };
+        let run = Running { sent: now, moves, tag, pages, missing, size, report, call };
         line.running.insert(run.call.id.clone(), run);
         self.settle(now, token);
     }
 
-    /// A connection that ended before a call went out says nothing of the engine: the call goes by another,
-    /// once.
+    /// A connection that was up, and ended before a call went out, says nothing of the engine: the call goes
+    /// by another.
     fn send_again(&mut self, now: Time) {
-        while let Some(call) = self.shared.again.pop() {
-            self.begin(now, call, true);
+        while let Some((call, moves)) = self.shared.again.pop() {
+            self.begin(now, call, moves);
         }
     }
 }
 
 impl Link for Resp {
     fn start(&mut self, now: Time, call: Call) {
-        self.begin(now, call, false);
+        self.begin(now, call, 0);
         self.send_again(now);
     }
 
@@ -333,8 +331,9 @@
     fn closed(&mut self, _: Time, shared: &mut Shared) {
         for (id, run) in self.running.drain() {
             let unsent = self.channel.take_back(run.tag);
-            if unsent && !run.moved && !self.channel.connecting {
-                shared.again.push(run.call);
+            let was_up = !self.channel.connecting || self.channel.reset;
+            if unsent && was_up && run.moves < shared.limits.moves {
+                shared.again.push((run.call, run.moves + 1));
                 continue;
             }
             let ending = if unsent { Ending::NotSent } else { Ending::Broken };
--- a/src/net/channel.rs
+++ b/src/net/channel.rs
@@ -30,6 +30,8 @@
     queued: usize,
     next_tag: u64,
     pub connecting: bool,
+    /// It was reset before it came up here: its peer had taken it.
+    pub reset: bool,
 }
 
 impl Channel {
@@ -63,6 +65,7 @@
             queued: 0,
             next_tag: 0,
             connecting,
+            reset: false,
         }
     }
 
@@ -130,9 +133,10 @@
 
     /// The socket became writable while it connected: it is up, or it failed.
     pub fn connected(&mut self) -> io::Result<()> {
-        rustix::net::sockopt::socket_error(&self.stream)??;
-        self.connecting = false;
-        Ok(())
+        let error = rustix::net::sockopt::socket_error(&self.stream)?;
+        self.reset = error == Err(rustix::io::Errno::CONNRESET);
+        self.connecting = error.is_err();
+        Ok(error?)
     }
 
     /// Nothing more will be written.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -334,3 +334,35 @@
         assert!(w.event(still).is_empty());
     }
 }
+
+#[test]
+fn connections_that_break_now_and_then_eject_no_engine_and_always_do() {
+    let mut w = World::new(lookups(), &["e1"]);
+    (0..30).for_each(|n| drop(round(&mut w, &format!("warm{n}"), 4, |_| true)));
+    let broken = |w: &mut World, tag: &str, count: usize| {
+        for n in 0..count {
+            let id = format!("{tag}-{n}");
+            w.query_with(on(&id, n as i64));
+            w.end(&id, 0, Outcome::Reset);
+        }
+        w.wait(0.1);
+        w.is_ejected("e1")
+    };
+    assert!(!broken(&mut w, "few", 5));
+    assert!(broken(&mut w, "all", 30));
+}
+
+#[test]
+fn an_engine_that_sends_notes_is_not_silent() {
+    let mut w = World::new(lookups(), &["e1", "e2"]);
+    (0..30).for_each(|n| drop(round(&mut w, &format!("warm{n}"), 6, |_| true)));
+    let to = sent_to(&w.query_with(Query { work: Some(1000.0), ..on("long", 1) })).remove(0);
+    for n in 1..20 {
+        w.wait(0.5);
+        let note = Note::Done(f64::from(n) / 20.0);
+        w.event(Event::Noted { id: "long".into(), attempt: 0, note });
+        assert!(!w.is_ejected(&to), "after {n} notes");
+    }
+    w.wait(10.0);
+    assert!(w.is_ejected(&to), "once the notes stop");
+}
