An engine is sent no more than its memory bears; called-off attempts count whole

Three probes of each engine's state: the bounds hardly moved (6700 to 5400 ms in 10 s), `full` came from one draining engine only, and the estimates of memory out rose from 10-15 GB to 33-45 GB on engines of 16 GB just before the use fell.

At fault: Gateway::pick looked at milliseconds alone, and reports here tell no memory. And Gateway::judge took an attempt called off for its pace as one that ended after so short a delay: fast, and outside DDR.

Now this gateway's estimates on an engine stay within 1.3 of its part of the memory; a query that fits nowhere else still runs alone. A called-off attempt counts with the delay that its pace came to.

Tests: two in failures.rs, seen to fail on the old module.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -51,6 +51,7 @@
 const HELD_TABLES: f64 = 0.05; // draw weight where a load seems to hold the query's tables
 const HOLDS_FOR: f64 = 0.5; // of a middling load's time, for which a note of one that holds is believed
 const STALL_TIMES: f64 = 1.5; // expected delays after which a reader seems to stand still
+const MEMORY_ROOM: f64 = 1.3; // estimates over memory, of all gateways: past that an engine pages and stalls
 const IDLE_ROOM: f64 = 1.0; // how far past its bound an idle engine takes work (times the share idle)
 const SPARE_LEAST: f64 = 0.02; // least draw weight of engines that bound classes need
 const LATELY: f64 = 10.0; // span of what was asked for by class, and served (s)
@@ -76,6 +77,7 @@
     expected: f64,
     noted: Option<(f64, f64)>, // time and share done from which its pace counts
     moved: bool,               // called off for memory: says nothing of its engine
+    whole: Option<f64>,        // delay that its pace came to, once called off for it
 }
 
 #[derive(Default)]
@@ -138,6 +140,7 @@
     sent: f64,
     expected: f64,
     cost: f64,
+    memory: f64,
     tables: i64,
     is_load: bool,
 }
@@ -147,6 +150,7 @@
     entry: EngineEntry,
     listed: bool,
     cores: f64,
+    memory: f64, // MB; infinite where it is not told
     started: f64,
     unreached: f64,
     cold_spent_until: f64,
@@ -190,6 +194,11 @@
         self.holds.get(&tables).is_some_and(|until| now < *until)
     }
 
+    /// Memory (MB) that what is out there is estimated to need.
+    fn memory_out(&self) -> f64 {
+        self.flights.values().map(|f| f.memory).sum()
+    }
+
     fn backlog(&self) -> f64 {
         self.flights.values().map(|f| f.cost).sum::<f64>() + self.ghosts.iter().map(|g| g.1).sum::<f64>()
     }
@@ -313,10 +322,12 @@
         for entry in entries {
             let kind = self.settings.kinds.iter().find(|k| *k.name == *entry.kind);
             let cores = kind.map_or(1.0, |k| k.cores.max(1.0));
+            let memory = kind.map(|k| k.memory).filter(|mb| *mb > 0.0).unwrap_or(f64::INFINITY);
             let start = starting_bound(&self.settings, cores);
             let started = entry.started.unwrap_or(f64::NEG_INFINITY);
             let fresh = || Engine {
                 cores,
+                memory,
                 bound: start,
                 started: f64::NEG_INFINITY,
                 unreached: f64::NEG_INFINITY,
@@ -490,8 +501,15 @@
         let left: f64 = pool.map(|e| e.bound * room - e.backlog()).sum();
         let part = uniform(&mut self.rng);
         let gateways = self.settings.gateways;
+        let need = request.query.memory.unwrap_or(0.0);
         let fits = |e: &&Engine| {
             let backlog = e.backlog();
+            // Past its memory an engine pages, and all that it holds stands nearly still: no report tells of
+            // that before it is too late.
+            let memory = e.memory_out();
+            if memory > 0.0 && memory + need > MEMORY_ROOM * room * e.memory / gateways {
+                return false;
+            }
             let crowd = (gateways / e.cores).min(1.0);
             let alone = backlog == 0.0 && part * crowd * request.cost <= left;
             // Where loads hold tables cores idle as well; what is let in only waits there, with its memory.
@@ -630,6 +648,7 @@
         let retried = class.effect == Effect::Repeatable && more && patience + usual < left;
         let timeout = retried.then_some(patience);
         let memory = self.grant(request);
+        let told_memory = request.query.memory.unwrap_or(0.0);
         let (cost, tables, is_load) = (request.cost, request.query.tables, class.is_load);
         let attempt = request.attempts.len() as u32;
         let request_id = request.query.id.clone();
@@ -639,14 +658,17 @@
         let Some(engine) = self.engines.get_mut(&id) else { return };
         engine.sends.push((now, weigh)); // of warm ones too: one may turn out to have restarted
         engine.sent_since += 1.0;
-        engine.flights.insert((number, attempt), Flight { sent: now, expected, cost, tables, is_load });
+        engine.flights.insert(
+            (number, attempt),
+            Flight { sent: now, expected, cost, memory: told_memory, tables, is_load },
+        );
         engine.peak = engine.peak.max(engine.backlog());
         let home = (engine.entry.zone.clone(), engine.entry.cell);
         if let Some(request) = self.requests.get_mut(&number) {
             let (engine, noted) = (id.clone(), Some((now, 0.0)));
             request.granted = memory;
-            let (sent, fate, moved) = (now, Fate::Out, false);
-            request.attempts.push(Attempt { engine, home, sent, fate, expected, noted, moved });
+            let (sent, fate, moved, whole) = (now, Fate::Out, false, None);
+            request.attempts.push(Attempt { engine, home, sent, fate, expected, noted, moved, whole });
         }
         self.peak = self.peak.max(self.engines.values().map(Engine::backlog).sum());
         if self.settings.priorities || memory.is_some() {
@@ -823,6 +845,7 @@
             (Note::Done(share), _) => {
                 let (since, had) = *tried.noted.get_or_insert((now, share));
                 let rest = (now - since) * (1.0 - share) / (share - had).max(0.01);
+                tried.whole = Some(now - tried.sent + rest);
                 request.deadline - now > tried.expected && rest > NOTED_TIMES * tried.expected
             }
             _ => false,
@@ -861,6 +884,10 @@
         // The deadline of a finished query is set from its cost where the answer told it: estimates scatter.
         let threads = self.settings.classes[request.query.class].threads.max(1.0);
         let known = ended.work.map_or(sigma, |work| (work / threads / 1000.0).max(0.001));
+        // One that was called off for its pace would have taken so long; it was not as fast as it ended.
+        let called_off = ended.outcome == Outcome::Cancelled && !request.finished;
+        let whole = request.attempts[ended.attempt as usize].whole.filter(|_| called_off);
+        let delay = whole.unwrap_or(delay);
         let ddr = delay / (self.slack[request.query.class] * known);
         let class = &mut self.classes[request.query.class];
         let slowness = class.slowness();
@@ -888,9 +915,7 @@
         }
         engine.served += (outcome == Outcome::Ok) as u32;
         // Errors are no service: a fast one must not look like speed. Full is past any deadline.
-        // What its own notes call off had a bad plan or a lost answer: that is not the load's doing.
-        let noted = outcome == Outcome::Cancelled && !request.finished;
-        if (ran && !noted) || outcome == Outcome::Full {
+        if ran || outcome == Outcome::Full {
             engine.ddr_sum += if ran { ddr.min(DDR_CAP) } else { DDR_CAP };
             engine.ddr_count += 1;
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -366,3 +366,45 @@
     w.wait(10.0);
     assert!(w.is_ejected(&to), "once the notes stop");
 }
+
+#[test]
+fn an_attempt_called_off_for_its_pace_was_not_a_fast_one() {
+    let mut s = lookups();
+    s.may_cancel = true;
+    let mut w = World::new(s, &["e1", "e2"]);
+    (0..30).for_each(|n| drop(round(&mut w, &format!("warm{n}"), 6, |_| true)));
+    for n in 0..40 {
+        let id = format!("slow-{n}");
+        let to = sent_to(&w.query_with(on(&id, n)));
+        w.wait(0.05);
+        if to == ["e1"] {
+            let note = Note::Done(0.002);
+            let out = w.event(Event::Noted { id: id.as_str().into(), attempt: 0, note });
+            assert!(matches!(out[..], [Action::Cancel { .. }]), "too slow by far");
+            let again = sent_to(&w.end(&id, 0, Outcome::Cancelled));
+            if again == ["e2"] {
+                w.wait(0.05);
+                w.end(&id, 1, Outcome::Ok);
+            }
+        } else {
+            w.end(&id, 0, Outcome::Ok);
+        }
+    }
+    assert!(w.is_ejected("e1") && !w.is_ejected("e2"));
+}
+
+#[test]
+fn an_engine_is_sent_no_more_than_its_memory_bears() {
+    let mut s = lookups();
+    s.gateways = 2.0;
+    let mut w = World::new(s, &["e1"]);
+    let big = |n: i64| Query { memory: Some(3000.0), ..on(&format!("big-{n}"), n) };
+    let sent: usize = (0..10).map(|n| sent_to(&w.query_with(big(n))).len()).sum();
+    assert!((2..=4).contains(&sent), "{sent} of 3 GB each, on this gateway's half of 16 GB");
+    // What needs none finds room beside them, and what needs more than there is runs alone.
+    assert_eq!(sent_to(&w.query_with(on("small", 20))).len(), 1);
+    w.end("small", 0, Outcome::Ok);
+    (0..10).for_each(|n| drop(w.end(&format!("big-{n}"), 0, Outcome::Ok)));
+    let huge = Query { memory: Some(40_000.0), ..on("huge", 30) };
+    assert_eq!(sent_to(&w.query_with(huge)).len(), 1);
+}
