A reader that still waits for a load moves once another engine is free

A probe of what was given up: 900 of 1500 lookups had one attempt and waited it out, on an engine where a load held their tables, though engines beside it were free by then. A second probe: 1930 of 6200 first sends went to an engine known to hold them, since all did, and no time-out applies there.

At fault: Gateway::on_note asked for a better place at the one note that tells of the wait; the notes of no progress that follow each half second were passed over.

Now a note of no progress after a wait asks again. Test: in failures.rs, seen to fail on the old module.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -817,7 +817,10 @@
             engine.last_heard = now;
         }
         let safe = self.settings.classes[request.query.class].effect == Effect::Repeatable;
-        let moves = !matches!(note, Note::Done(_)); // these leave one try in hand for failures
+        // One that has told of a wait and has done nothing since still waits.
+        let waits =
+            request.attempts[attempt as usize].noted.is_none() && matches!(note, Note::Done(s) if s <= 0.0);
+        let moves = waits || !matches!(note, Note::Done(_)); // these leave one try in hand for failures
         let more = attempt + 1 + u32::from(moves) < self.settings.max_attempts && self.within_budget(now);
         let (again, sigma) = (safe && more && self.settings.may_cancel, self.sigma(request));
         let (tables, load) = (request.query.tables, self.load_time());
@@ -841,7 +844,7 @@
                 }
                 elsewhere
             }
-            (Note::Done(share), _) if tried.noted.is_none() && share <= 0.0 => false, // it still waits
+            (Note::Done(_), _) if waits => elsewhere,
             (Note::Done(share), _) => {
                 let (since, had) = *tried.noted.get_or_insert((now, share));
                 let rest = (now - since) * (1.0 - share) / (share - had).max(0.01);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -408,3 +408,22 @@
     let huge = Query { memory: Some(40_000.0), ..on("huge", 30) };
     assert_eq!(sent_to(&w.query_with(huge)).len(), 1);
 }
+
+#[test]
+fn a_reader_that_still_waits_moves_once_another_engine_is_free() {
+    let reader = ClassSettings { yields_to_loads: true, ..class("q", Effect::Repeatable) };
+    let load = ClassSettings { is_load: true, ..class("load", Effect::Once) };
+    let s = Settings { may_cancel: true, ..settings(vec![reader, load]) };
+    let mut w = World::new(s, &["e1", "e2"]);
+    let noted = |id: &str, attempt, note| Event::Noted { id: id.into(), attempt, note };
+    // Another one shows that loads hold its tables on both engines.
+    w.query("other", 0, 100.0);
+    w.event(noted("other", 0, Note::WaitsForLoad));
+    w.end("other", 0, Outcome::Cancelled);
+    w.event(noted("other", 1, Note::WaitsForLoad));
+    assert_eq!(sent_to(&w.query("r", 0, 100.0)).len(), 1);
+    assert!(w.event(noted("r", 0, Note::WaitsForLoad)).is_empty(), "there is no better place");
+    w.wait(0.5);
+    let moved = w.event(noted("r", 0, Note::Done(0.0)));
+    assert_eq!(moved, [Action::Cancel { id: "r".into(), attempt: 0 }], "what held the other one is over");
+}
