Connections are looked at every 2 s, so a packet begun on an idle session ends in time

At fault: Hall::alarm set the next look at `until` as it then was. A look costs a heap entry a connection; a second timer for each begun call would have piled up instead.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -76,7 +76,7 @@
     Served(Parts),
     /// The engine said that it failed.
     Error,
-    /// The engine turned it away unseen.
+    /// The engine turned it away unseen, or there was no connection left for it.
     Full,
     /// No byte of it reached the engine.
     NotSent,
--- a/src/front/hall.rs
+++ b/src/front/hall.rs
@@ -120,7 +120,9 @@
                 }
                 until => {
                     let desk = G::desk(&mut self.shared);
-                    desk.look(until.unwrap_or(now + desk.limits.linger), token);
+                    // A call that begins meanwhile brings it forward: an idle session is looked at in time.
+                    let again = until.unwrap_or(now + desk.limits.linger).min(now + desk.limits.call);
+                    desk.look(again, token);
                 }
             }
         }
