A client that has not taken its whole answer keeps its place

Client::spare now passes such ones over; they go with the idle limit. No test: the kernel's buffers on loopback take a whole answer at once.

--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -95,8 +95,9 @@
         self.bad(now, 408, shared)
     }
 
+    /// One that has not taken its whole answer keeps its place: a request whose answer is cut is lost.
     fn spare(&self) -> Option<(bool, Time)> {
-        self.open.is_none().then_some((self.asked, self.since))
+        (self.open.is_none() && self.channel.queued() == 0).then_some((self.asked, self.since))
     }
 
     fn desk(shared: &mut Shared) -> &mut Desk {
