Take up an inherited listening socket, leave in an upgrade, answer operators

At fault: Listener::bind knew no socket but its own, and there was no door but the clients'.

Now Listener takes any listening socket and net::inherited takes up the one that the platform holds. Each of two processes plans with half the limits (Limits::from_config). On SIGTERM the old one leaves: it takes no connection, answers with Connection: close, ends when its clients have gone, and gives up what is open 0.4 s before the platform's patience ends (Event::Ending; the module says what may be refused). Console is a third Hall. Counts by class in the core, attempts written whole in the channels of both links.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -307,6 +307,10 @@
             Event::Timer(TICK_TOKEN) => self.on_tick(now, out),
             Event::Timer(LIST_TOKEN) => out.push(Action::Subscribe),
             Event::Timer(number) => self.give_up(now, number, out), // its time is up
+            Event::Ending => {
+                let open: Vec<u64> = self.requests.keys().copied().collect();
+                open.into_iter().for_each(|number| self.give_up(now, number, out));
+            }
         }
         self.advance(now, out);
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -7,10 +7,16 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
 
 /// The environment variable that names the configuration file.
 const FILE: &str = "NODE_CONFIG";
 
+/// The one that names the operators' address, where the file does not.
+const CONSOLE: &str = "NODE_CONSOLE";
+/// The one that names the descriptor on which this process listens.
+const INHERITED: &str = "NODE_INHERITED_FD";
+
 /// A file of ours that may be absent: what it switches on is off then.
 pub fn optional<T: DeserializeOwned>(path: &str) -> Res<Option<T>> {
     let text = match std::fs::read_to_string(path) {
@@ -27,6 +33,10 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
+    /// The listening socket, where the platform holds it: its number in this process.
+    pub inherited: Option<RawFd>,
+    /// Where operators call, if they may.
+    pub console: Option<SocketAddr>,
     pub seed: u64,
     pub names: SocketAddr,
     pub known: (u32, Members),
@@ -61,16 +71,27 @@
             let text = word(map, key, "")?;
             text.parse().map_err(|e| format!("{key} {text:?}: {e}"))
         };
+        let console = match (word(map, "console", "")?, std::env::var(CONSOLE)) {
+            ("", Err(_)) => None,
+            ("", Ok(text)) => Some(text.parse().map_err(|e| format!("{CONSOLE} {text:?}: {e}"))?),
+            _ => Some(address("console")?),
+        };
+        let inherited = match std::env::var(INHERITED) {
+            Ok(text) => Some(text.parse().map_err(|e| format!("{INHERITED} {text:?}: {e}"))?),
+            Err(_) => None,
+        };
         let seed = word(map, "seed", "0")?;
         let none = serde_json::Map::new();
         Ok(Self {
             name: word(map, "name", "node")?.into(),
             listen: address("listen")?,
+            inherited,
+            console,
             seed: u64::from_str_radix(seed, 16).map_err(|e| format!("seed {seed:?}: {e}"))?,
             names: address("names")?,
             known: known::read(map)?,
             settings: settings(part(map, "settings", &none)?)?,
-            limits: Limits::from_config(value)?,
+            limits: Limits::from_config(value, inherited.is_some())?,
         })
     }
 }
--- /dev/null
+++ b/src/console/mod.rs
@@ -0,0 +1,140 @@
+//! The operators' door: HTTP/1.1, one call a connection. It decodes calls and encodes answers; the daemon
+//! carries them out.
+
+use crate::front::hall::{Desk, Guest, Hall};
+use crate::front::http::{self, Bad, Read};
+use crate::limits::Limits;
+use crate::net::{Channel, Connection, Flow, Poller, Time, Token};
+use std::collections::VecDeque;
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+
+/// What an operator asks for.
+#[derive(Debug)]
+pub enum Command {
+    Health,
+    Stats,
+}
+
+/// What all callers have in common.
+pub struct Shared {
+    desk: Desk,
+    commands: VecDeque<(Token, Command)>,
+}
+
+/// An operator's connection.
+pub struct Caller {
+    channel: Channel,
+    token: Token,
+    since: Time,
+    until: Time,
+    /// Its call is read; what still comes is passed over.
+    called: bool,
+}
+
+pub type Console = Hall<Caller>;
+
+impl Console {
+    pub fn open(part: u8, socket: TcpListener, poller: Rc<Poller>, limits: Rc<Limits>) -> io::Result<Self> {
+        Self::new(part, socket, Shared { desk: Desk::new(0, limits), commands: VecDeque::new() }, poller)
+    }
+
+    /// The next call, and whose it is.
+    pub fn command(&mut self) -> Option<(Token, Command)> {
+        self.shared.commands.pop_front()
+    }
+
+    /// Answers a call: the status says yes or no.
+    pub fn tell(&mut self, now: Time, token: Token, status: u16, text: &str) {
+        self.reply(now, token, |caller, shared| caller.finish(now, status, text, shared));
+    }
+}
+
+impl Guest for Caller {
+    fn welcome(now: Time, channel: Channel, token: Token, shared: &Shared) -> Option<Self> {
+        Some(Caller { channel, token, since: now, until: now + shared.desk.limits.call, called: false })
+    }
+
+    fn until(&self) -> Option<Time> {
+        Some(self.until)
+    }
+
+    fn overdue(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        if self.called {
+            return Flow::Close;
+        }
+        self.finish(now, 408, "", shared)
+    }
+
+    /// Those that stay silent, or do not take their answer, must not keep others out.
+    fn spare(&self) -> Option<(bool, Time)> {
+        Some((self.called && self.channel.queued() > 0, self.since))
+    }
+
+    fn desk(shared: &mut Shared) -> &mut Desk {
+        &mut shared.desk
+    }
+
+    fn most(limits: &Limits) -> usize {
+        limits.callers
+    }
+}
+
+impl Connection for Caller {
+    type Shared = Shared;
+
+    fn channel(&mut self) -> &mut Channel {
+        &mut self.channel
+    }
+
+    fn readable(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        if self.called {
+            self.channel.input.clear();
+            return Flow::Open;
+        }
+        let status = match http::read(&self.channel.input, &shared.desk.limits) {
+            Ok(Read::Partial { .. }) => return Flow::Open,
+            Ok(Read::Whole(call, _)) => match command(&call.method, &call.path) {
+                Ok(command) => {
+                    self.called = true;
+                    shared.commands.push_back((self.token, command));
+                    return Flow::Open;
+                }
+                Err(Bad(status)) => status,
+            },
+            Err(Bad(status)) => status,
+        };
+        self.finish(now, status, "", shared)
+    }
+
+    fn writable(&mut self, _: Time, _: &mut Shared) -> Flow {
+        Flow::Open
+    }
+
+    fn closed(&mut self, _: Time, _: &mut Shared) {}
+}
+
+impl Caller {
+    fn finish(&mut self, now: Time, status: u16, text: &str, shared: &mut Shared) -> Flow {
+        self.called = true;
+        self.channel.input = Vec::new();
+        self.channel.push(http::text(status, text));
+        self.until = now + shared.desk.limits.linger;
+        shared.desk.look(self.until, self.token);
+        Flow::Finish
+    }
+}
+
+fn command(method: &str, path: &str) -> Result<Command, Bad> {
+    let (wanted, command) = match path {
+        "/healthcheck" => ("GET", Command::Health),
+        "/stats" => ("GET", Command::Stats),
+        _ => return Err(Bad(404)),
+    };
+    if method == wanted {
+        Ok(command)
+    } else {
+        Err(Bad(405))
+    }
+}
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -3,12 +3,19 @@
 use dahliaspoke::interface::Outcome;
 use std::fmt;
 
+/// Answers to the requests of one class.
 #[derive(Clone, Debug, Default)]
-pub struct Counters {
-    pub taken: u64,
+pub struct Answers {
     pub served: u64,
     pub refused: u64,
     pub failed: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Counters {
+    pub taken: u64,
+    /// By class, as the settings have them.
+    pub answers: Vec<Answers>,
     pub withdrawn: u64,
     pub bad: u64,
     pub sends: u64,
@@ -40,13 +47,14 @@
 
 impl fmt::Display for Counters {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let sum = |of: fn(&Answers) -> u64| self.answers.iter().map(of).sum::<u64>();
         write!(
             f,
             "taken={} served={} refused={} failed={} withdrawn={} bad={} sends={} notes={}",
             self.taken,
-            self.served,
-            self.refused,
-            self.failed,
+            sum(|a| a.served),
+            sum(|a| a.refused),
+            sum(|a| a.failed),
             self.withdrawn,
             self.bad,
             self.sends,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,7 +4,7 @@
 
 mod counters;
 
-pub use counters::Counters;
+pub use counters::{Answers, Counters};
 
 use crate::net::{Time, Timers};
 use dahliaspoke::choice::Gateway;
@@ -115,6 +115,8 @@
     fn drop_call(&mut self, now: Time, id: &RequestId, attempt: u32) -> bool;
     /// Changes the priority of an attempt that is out.
     fn rank(&mut self, now: Time, id: &RequestId, attempt: u32, rank: u8);
+    /// Attempts that have gone out whole.
+    fn written(&self) -> u64;
 }
 
 /// A front and the link that runs what comes in there.
@@ -130,6 +132,7 @@
 
 struct Request {
     door: usize,
+    class: usize,
     work: Work,
     deadline: Time,
     memory: Option<f64>,
@@ -160,6 +163,7 @@
 impl Core {
     pub fn new(mut settings: Settings, seed: u64) -> Self {
         // A keyed request that came without its key must not be repeated: it is of a twin class that says so.
+        let answers = vec![Answers::default(); settings.classes.len()];
         let mut keyless: Vec<usize> = (0..settings.classes.len()).collect();
         for (at, twin) in keyless.iter_mut().enumerate() {
             if settings.classes[at].effect == Effect::Keyed {
@@ -175,7 +179,7 @@
             timers: Timers::default(),
             events: VecDeque::new(),
             actions: Vec::new(),
-            counters: Counters::default(),
+            counters: Counters { answers, ..Counters::default() },
         }
     }
 
@@ -184,11 +188,21 @@
         self.timers.next()
     }
 
+    /// Whether the decisions leave an engine out for now.
+    pub fn avoids(&self, engine: &EngineId) -> bool {
+        self.gateway.engine(engine).is_some_and(|(_, _, ejected)| ejected)
+    }
+
     /// Requests that are owed an answer.
     pub fn open(&self) -> usize {
         self.open
     }
 
+    /// The program ends before its requests do: each is given up, with an answer.
+    pub fn give_up(&mut self, now: Time, doors: &mut [Door]) {
+        self.feed(now, Event::Ending, doors);
+    }
+
     pub fn engines(&mut self, now: Time, scope: Scope, entries: Vec<EngineEntry>, doors: &mut [Door]) {
         self.feed(now, Event::Engines(scope, entries), doors);
     }
@@ -212,12 +226,13 @@
         self.counters.taken += 1;
         // The module keeps requests by id, and engines are sent the client's id as it is.
         if self.requests.contains_key(&ask.id) {
-            self.counters.failed += 1;
+            self.counters.answers[ask.class].failed += 1;
             return doors[ask.door].front.answer(now, &ask.id, Answer::Failed);
         }
         let class = if ask.work.key.is_some() { ask.class } else { self.keyless[ask.class] };
         let request = Request {
             door: ask.door,
+            class: ask.class,
             work: ask.work,
             deadline: ask.deadline,
             memory: None,
@@ -326,11 +341,12 @@
         let Some(request) = self.requests.get_mut(id).filter(|r| !r.over) else { return };
         request.over = true;
         self.open -= 1;
-        match answer {
-            Answer::Served(_) => self.counters.served += 1,
-            Answer::Refused(_) => self.counters.refused += 1,
-            Answer::Failed => self.counters.failed += 1,
-        }
+        let answers = &mut self.counters.answers[request.class];
+        *match answer {
+            Answer::Served(_) => &mut answers.served,
+            Answer::Refused(_) => &mut answers.refused,
+            Answer::Failed => &mut answers.failed,
+        } += 1;
         doors[request.door].front.answer(now, id, answer);
     }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,7 +2,8 @@
 //! them and the core.
 
 use crate::config::{optional, Config};
-use crate::core::{Core, Door};
+use crate::console::{Command, Console};
+use crate::core::{Core, Door, Link};
 use crate::front::mysql::MysqlFront;
 use crate::front::platform::Platform;
 use crate::limits::Limits;
@@ -12,11 +13,12 @@
 use crate::membership::dns::Directory;
 use crate::membership::{known, Member, Members};
 use crate::mysql::{self, config::Mysql};
-use crate::net::{Clock, Poller, Ready, Time, Token};
+use crate::net::{inherited, Clock, Poller, Ready, Time, Token};
 use crate::store::{self, Store};
 use dahliaspoke::interface::{Lifecycle, Scope};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::io::Read;
+use std::net::TcpListener;
 use std::os::unix::net::UnixStream;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -29,6 +31,7 @@
 const MYSQL_LINK: u8 = 5;
 const CONSUL: u8 = 6;
 const STORE: u8 = 7;
+const CONSOLE: u8 = 8;
 
 /// One byte comes down a pipe for every signal.
 struct Signal {
@@ -48,6 +51,7 @@
     limits: Rc<Limits>,
     signals: Vec<Signal>,
     core: Core,
+    classes: Vec<Arc<str>>,
     source: Source,
     platform: Platform,
     resp: Resp,
@@ -57,8 +61,14 @@
     store: Option<Store>,
     /// The engines as last told, as the store keeps them.
     members: Members,
+    /// The operators' door, where the configuration has one.
+    console: Option<Console>,
+    /// The platform holds the clients' listening socket, and another process takes this one's place.
+    in_pairs: bool,
     /// After SIGTERM: until when the program stays in any case.
     farewell: Option<Time>,
+    /// After SIGTERM, where another process takes over: when all that is open is given up.
+    handover: Time,
 }
 
 impl Daemon {
@@ -85,7 +95,11 @@
         let classes: Vec<Arc<str>> = config.settings.classes.iter().map(|c| c.name.as_str().into()).collect();
         let (listen, names) = (config.listen, config.names);
         let members = config.known.1.all();
-        let platform = Platform::open(PLATFORM, 0, listen, classes, poller.clone(), limits.clone())
+        let socket = config.inherited.map_or_else(|| TcpListener::bind(listen), inherited);
+        let platform = socket
+            .and_then(|socket| {
+                Platform::open(PLATFORM, 0, socket, classes.clone(), poller.clone(), limits.clone())
+            })
             .map_err(|e| format!("listen {listen}: {e}"))?;
         let address = platform.address().map_err(|e| format!("listen {listen}: {e}"))?;
         let source = match optional(consul::FILE)? {
@@ -110,8 +124,19 @@
                 Some((front, link))
             }
         };
+        let mut console = None;
+        if let Some(address) = config.console {
+            let opened = TcpListener::bind(address)
+                .and_then(|socket| Console::open(CONSOLE, socket, poller.clone(), limits.clone()));
+            let opened = opened.map_err(|e| format!("console {address}: {e}"))?;
+            let address = opened.address().map_err(|e| format!("console {address}: {e}"))?;
+            println!("{} hears operators on {address}", config.name);
+            console = Some(opened);
+        }
         let mut daemon = Self {
             clock,
+            console,
+            in_pairs: config.inherited.is_some(),
             mysql,
             store,
             members: Members::default(),
@@ -119,10 +144,12 @@
             poller,
             limits,
             signals,
+            classes,
             core: Core::new(config.settings, config.seed),
             source,
             platform,
             farewell: None,
+            handover: Time::INFINITY,
         };
         daemon.members(now, Scope::Restored, members);
         println!("{} listens on {address}", config.name);
@@ -162,7 +189,9 @@
             self.mysql.as_mut().and_then(|(front, _)| front.next()),
             self.mysql.as_ref().and_then(|(_, link)| link.next()),
             self.store.as_ref().and_then(Store::next),
+            self.console.as_mut().and_then(Console::next),
             self.farewell.filter(|at| *at > now),
+            Some(self.handover),
         ];
         parts.into_iter().flatten().fold(f64::INFINITY, f64::min)
     }
@@ -177,13 +206,21 @@
         if let Some(store) = &mut self.store {
             store.alarm(now);
         }
+        if let Some(console) = &mut self.console {
+            console.alarm(now);
+        }
         self.stored(now);
         if let Some((front, link)) = &mut self.mysql {
             front.alarm(now);
             link.alarm(now);
         }
+        let over = self.handover <= now;
         let (core, mut doors) = self.doors();
         core.alarm(now, &mut doors);
+        if over {
+            core.give_up(now, &mut doors);
+            self.handover = Time::INFINITY;
+        }
     }
 
     fn ready(&mut self, now: Time, ready: Ready) {
@@ -206,6 +243,12 @@
                 }
                 self.stored(now);
             }
+            CONSOLE => {
+                if let Some(console) = &mut self.console {
+                    console.ready(now, ready);
+                }
+                self.commands(now);
+            }
             part => match &mut self.mysql {
                 Some((front, _)) if part == MYSQL_FRONT => front.ready(now, ready),
                 Some((_, link)) => link.ready(now, ready),
@@ -284,6 +327,20 @@
         core.engines(now, scope, entries, &mut doors);
     }
 
+    /// Carries out what operators ask for.
+    fn commands(&mut self, now: Time) {
+        while let Some((token, command)) = self.console.as_mut().and_then(Console::command) {
+            let (status, text) = match command {
+                Command::Health if self.farewell.is_some() => (503, "leaving\n".to_string()),
+                Command::Health => (200, "ok\n".to_string()),
+                Command::Stats => (200, self.stats()),
+            };
+            if let Some(console) = &mut self.console {
+                console.tell(now, token, status, &text);
+            }
+        }
+    }
+
     fn signal(&mut self, now: Time, place: usize) {
         let Some(signal) = self.signals.get_mut(place) else { return };
         // The pipe only wakes the loop; how many bytes it held does not matter.
@@ -298,6 +355,12 @@
         } else if self.farewell.is_none() {
             // The front goes on sending for a while: what comes is still served.
             self.farewell = Some(now + self.limits.farewell);
+            if self.in_pairs {
+                // The other process has the listening socket as well, and takes what comes.
+                println!("{now:.3} leaving: connections go to the process beside");
+                self.platform.leave();
+                self.handover = now + self.limits.handover;
+            }
             if let Source::Consul(consul) = &mut self.source {
                 consul.leave(now);
             }
@@ -316,16 +379,38 @@
     /// After SIGTERM, once clients have had time to notice and every answer is out. New connections are taken
     /// to the end: one that the kernel took, and nobody here, would be lost.
     fn is_over(&mut self, now: Time) -> bool {
-        if self.farewell.is_none_or(|at| now < at) {
+        let Some(farewell) = self.farewell else { return false };
+        let alone = self.in_pairs && self.platform.is_empty();
+        if now < farewell && !alone {
             return false;
         }
         let mut idle = self.platform.idle();
         if let Some((front, _)) = &mut self.mysql {
-            idle &= front.idle();
+            idle &= front.idle() && (now >= farewell || front.is_empty());
         }
         idle && self.core.open() == 0
     }
 
+    /// The figures, for operators: a line each.
+    fn stats(&mut self) -> String {
+        let mut text = String::new();
+        let mut line = |name: &str, count: u64| text += &format!("app.{name}={count}\n");
+        for (class, answers) in self.classes.iter().zip(&self.core.counters.answers) {
+            line(&format!("completed.{class}"), answers.served);
+            line(&format!("rejected.{class}"), answers.refused);
+            line(&format!("failed.{class}"), answers.failed);
+        }
+        let members = self.members.all();
+        let ready = |m: &&Member| m.entry.lifecycle == Lifecycle::Ready && !self.core.avoids(&m.entry.id);
+        let available = members.iter().filter(ready).count();
+        let mysql = self.mysql.as_ref().map_or(0, |(_, link)| link.written());
+        line("upstream_requests", self.resp.written() + mysql);
+        line("pending", self.core.open() as u64);
+        line("members", members.len() as u64);
+        line("members_unavailable", (members.len() - available) as u64);
+        text
+    }
+
     fn counters(&mut self) -> String {
         let mysql = self.mysql.as_mut().map_or(0, |(front, _)| front.bad());
         self.core.counters.bad = self.platform.bad() + mysql;
--- a/src/front/hall.rs
+++ b/src/front/hall.rs
@@ -6,7 +6,7 @@
 use dahliaspoke::interface::RequestId;
 use std::collections::{HashMap, VecDeque};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 
 /// What the connections of a front have in common, whatever they speak.
@@ -17,6 +17,8 @@
     /// The connection that each open request came by.
     open: HashMap<RequestId, Token>,
     timers: Timers<Token>,
+    /// The program is about to end and another takes the connections: each is closed with its next answer.
+    pub leaving: bool,
     /// Calls that could not be read.
     pub bad: u64,
 }
@@ -24,7 +26,7 @@
 impl Desk {
     pub fn new(door: usize, limits: Rc<Limits>) -> Self {
         let (wishes, open, timers) = (VecDeque::new(), HashMap::new(), Timers::default());
-        Self { limits, door, wishes, open, timers, bad: 0 }
+        Self { limits, door, wishes, open, timers, leaving: false, bad: 0 }
     }
 
     pub fn is_open(&self, id: &RequestId) -> bool {
@@ -73,8 +75,8 @@
 }
 
 impl<G: Guest> Hall<G> {
-    pub fn new(part: u8, listen: SocketAddr, shared: G::Shared, poller: Rc<Poller>) -> io::Result<Self> {
-        let listener = Listener::bind(part, listen, poller.clone())?;
+    pub fn new(part: u8, socket: TcpListener, shared: G::Shared, poller: Rc<Poller>) -> io::Result<Self> {
+        let listener = Listener::new(part, socket, poller.clone())?;
         Ok(Self { listener, table: Table::new(part, poller), shared })
     }
 
@@ -129,9 +131,25 @@
         self.rearm(now);
     }
 
+    /// Takes no connection from here on: another process has the listening socket as well.
+    pub fn leave(&mut self) {
+        G::desk(&mut self.shared).leaving = true;
+        self.listener.room(false);
+    }
+
+    /// Whether nobody is connected.
+    pub fn is_empty(&self) -> bool {
+        self.table.len() == 0
+    }
+
     /// Runs `answer` on the connection that the request came by, if it is still there.
     pub fn answer(&mut self, now: Time, id: &RequestId, answer: impl FnOnce(&mut G, &mut G::Shared) -> Flow) {
         let Some(token) = G::desk(&mut self.shared).open.remove(id) else { return };
+        self.reply(now, token, answer);
+    }
+
+    /// Runs `answer` on a connection, if it is still there.
+    pub fn reply(&mut self, now: Time, token: Token, answer: impl FnOnce(&mut G, &mut G::Shared) -> Flow) {
         let Some(guest) = self.table.get(token) else { return };
         let flow = answer(guest, &mut self.shared);
         self.table.settle(now, token, flow, &mut self.shared);
@@ -151,13 +169,14 @@
     }
 
     fn rearm(&mut self, now: Time) {
-        if !self.listener.is_armed() && (self.has_room() || self.spare(now).is_some()) {
+        let leaving = G::desk(&mut self.shared).leaving;
+        if !leaving && !self.listener.is_armed() && (self.has_room() || self.spare(now).is_some()) {
             self.listener.room(true);
         }
     }
 
     fn accept(&mut self, now: Time) {
-        loop {
+        while !G::desk(&mut self.shared).leaving {
             let spare = if self.has_room() { None } else { self.spare(now) };
             if spare.is_none() && !self.has_room() {
                 return self.listener.room(false);
--- a/src/front/platform/http.rs
+++ b/src/front/http.rs
@@ -109,6 +109,15 @@
 
 /// An answer with a JSON body.
 pub fn answer(status: u16, field: Option<(&str, String)>, body: &[u8], stays: bool) -> Vec<u8> {
+    encode(status, "application/json", field, body, stays)
+}
+
+/// An answer in plain text, the last on its connection.
+pub fn text(status: u16, text: &str) -> Vec<u8> {
+    encode(status, "text/plain", None, text.as_bytes(), false)
+}
+
+fn encode(status: u16, kind: &str, field: Option<(&str, String)>, body: &[u8], stays: bool) -> Vec<u8> {
     let reason = match status {
         200 => "OK",
         400 => "Bad Request",
@@ -123,7 +132,7 @@
         505 => "HTTP Version Not Supported",
         _ => "Error",
     };
-    let mut out = format!("HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n");
+    let mut out = format!("HTTP/1.1 {status} {reason}\r\nContent-Type: {kind}\r\n");
     if let Some((name, value)) = field {
         out += &format!("{name}: {value}\r\n");
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! Where requests come from. A front decodes requests and encodes answers; it decides nothing.
 
-mod hall;
+pub mod hall;
+pub mod http;
 pub mod mysql;
 pub mod platform;
 mod sql;
--- a/src/front/mysql/mod.rs
+++ b/src/front/mysql/mod.rs
@@ -15,6 +15,7 @@
 use setup::Plan;
 use std::collections::HashMap;
 use std::io;
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -99,9 +100,9 @@
         poller: Rc<Poller>,
         limits: Rc<Limits>,
     ) -> io::Result<Self> {
-        let (listen, desk) = (config.listen, Desk::new(door, limits));
+        let (socket, desk) = (TcpListener::bind(config.listen)?, Desk::new(door, limits));
         let classes = settings.classes.iter().map(|c| (c.name.as_str().into(), c.give_up)).collect();
-        Self::new(part, listen, Shared { desk, config, classes, requests: 0 }, poller)
+        Self::new(part, socket, Shared { desk, config, classes, requests: 0 }, poller)
     }
 }
 
--- a/src/front/platform/mod.rs
+++ b/src/front/platform.rs
@@ -1,16 +1,14 @@
 //! The platform's front: HTTP/1.1 calls in, JSON answers out.
 
-mod http;
-
 use super::hall::{Desk, Guest, Hall};
+use super::http::{self, Bad, Call, Read};
 use super::sql;
 use crate::core::{Answer, Ask, Front, Parts, Work};
 use crate::limits::Limits;
 use crate::net::{Channel, Connection, Flow, Poller, Time, Token};
 use dahliaspoke::interface::RequestId;
-use http::{Bad, Call, Read};
 use std::io;
-use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -43,12 +41,12 @@
     pub fn open(
         part: u8,
         door: usize,
-        listen: SocketAddr,
+        socket: TcpListener,
         classes: Vec<Arc<str>>,
         poller: Rc<Poller>,
         limits: Rc<Limits>,
     ) -> io::Result<Self> {
-        Self::new(part, listen, Shared { desk: Desk::new(door, limits), classes }, poller)
+        Self::new(part, socket, Shared { desk: Desk::new(door, limits), classes }, poller)
     }
 }
 
@@ -57,6 +55,7 @@
         Hall::answer(self, now, id, |client, shared| {
             client.open = None;
             client.rest(now, shared);
+            client.stays &= !shared.desk.leaving;
             client.channel.push(encode(answer, client.stays));
             if client.stays {
                 client.next_call(now, shared)
@@ -155,7 +154,7 @@
                 Ok(Read::Whole(call, length)) => {
                     self.channel.input.drain(..length);
                     self.continued = false;
-                    self.stays = call.stays;
+                    self.stays = call.stays && !shared.desk.leaving;
                     self.asked = true;
                     self.rest(now, shared);
                     if let Err(Bad(status)) = self.call(now, call, shared) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -305,6 +305,8 @@
     },
     /// A timer has come due.
     Timer(u64),
+    /// The gateway ends before its requests do: none may stay without an answer.
+    Ending,
 }
 
 /// What the gateway asks for.
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -1,6 +1,6 @@
 //! Every size, count and time that bounds the daemon, filled once at start and handed down.
 
-use dahliaspoke::settings::{num, object, part, Res};
+use dahliaspoke::settings::{list, num, object, part, Res};
 use serde_json::Value;
 
 const MB: f64 = 1024.0 * 1024.0;
@@ -92,8 +92,12 @@
     pub entries: usize,
     /// A value in the store.
     pub entry: usize,
-    /// From SIGTERM until no new connection is taken.
+    /// Operators' connections held at once.
+    pub callers: usize,
+    /// From SIGTERM until the program may end: connections that came before are still served.
     pub farewell: f64,
+    /// From SIGTERM until all that is open is given up, where another process goes on in this one's place.
+    pub handover: f64,
 }
 
 /// Share of the descriptors that clients may hold.
@@ -101,7 +105,15 @@
 /// The same for MySQL sessions.
 const SESSION_SHARE: f64 = 0.1;
 /// Descriptors of the daemon's own: listeners, signals, the directory, standard streams.
-const OWN: usize = 24;
+const OWN: usize = 24 + CALLERS;
+/// Operators' connections.
+const CALLERS: usize = 8;
+/// The platform gives an old process so long after SIGTERM (s), or the longest deadline if that is less ...
+const UPGRADE_MOST: f64 = 5.0;
+/// ... and 0.7 s more, of which it uses so much (s).
+const HANDOVER_SPARE: f64 = 0.3;
+/// Before that, one that owes nothing may end: its clients' idle connections, of 4 s at most, are over (s).
+const ANSWERS_OUT: f64 = 0.7;
 /// Share of the memory that calls may take which are not whole yet.
 const BODY_SHARE: f64 = 0.125;
 /// Share of the engines' idle limit after which the daemon closes first: a send must not cross their close.
@@ -117,13 +129,22 @@
     }
 
     /// From the platform's configuration; what it does not name has a value here.
-    pub fn from_config(config: &Value) -> Res<Self> {
+    /// Where an upgrade runs two processes beside each other, each plans with half of the machine.
+    pub fn from_config(config: &Value, in_pairs: bool) -> Res<Self> {
         let config = object(config, "the configuration")?;
         let none = serde_json::Map::new();
         let settings = part(config, "settings", &none)?;
         let (held, rules) = (part(settings, "limits", &none)?, part(settings, "rules", &none)?);
         let machine = part(config, "limits", &none)?;
-        let (sockets, memory) = (num(machine, "sockets", 1024.0)?, num(machine, "memory_mb", 2048.0)?);
+        let part_of = if in_pairs { 2.0 } else { 1.0 };
+        let sockets = num(machine, "sockets", 1024.0)? / part_of;
+        let memory = num(machine, "memory_mb", 2048.0)? / part_of;
+        let mut longest: f64 = 0.0;
+        for class in list(settings, "classes")? {
+            longest = longest.max(num(object(class, "a class")?, "giveUp", 30.0)?);
+        }
+        // Before the platform's own patience ends: the longest deadline, up to a bound, and a little more.
+        let handover = longest.min(UPGRADE_MOST) + HANDOVER_SPARE;
         let clients = (sockets * CLIENT_SHARE).max(1.0);
         Ok(Self {
             clients: clients as usize,
@@ -167,7 +188,9 @@
             replicas: 16,
             entries: 64,
             entry: 128 << 10,
-            farewell: 1.0,
+            callers: CALLERS,
+            farewell: if in_pairs { handover - ANSWERS_OUT } else { 1.0 },
+            handover,
         })
     }
 }
--- a/src/link/mysql/mod.rs
+++ b/src/link/mysql/mod.rs
@@ -27,6 +27,8 @@
     config: Rc<Mysql>,
     news: VecDeque<News>,
     timers: Timers<Alarm>,
+    /// Attempts that went out whole on connections that have ended.
+    written: u64,
 }
 
 /// Where a connection stands.
@@ -84,7 +86,7 @@
 
 impl MysqlLink {
     pub fn new(part: u8, config: Rc<Mysql>, poller: Rc<Poller>, limits: Rc<Limits>) -> Self {
-        let shared = Shared { limits, config, news: VecDeque::new(), timers: Timers::default() };
+        let shared = Shared { limits, config, news: VecDeque::new(), timers: Timers::default(), written: 0 };
         let (table, engines) = (Table::new(part, poller), Engines::default());
         Self { table, engines, calls: HashMap::new(), shared }
     }
@@ -223,6 +225,10 @@
 
     /// The protocol has no priorities.
     fn rank(&mut self, _: Time, _: &RequestId, _: u32, _: u8) {}
+
+    fn written(&self) -> u64 {
+        self.shared.written + self.table.all().map(|line| line.channel.whole).sum::<u64>()
+    }
 }
 
 impl Connection for Line {
@@ -255,6 +261,7 @@
 
     /// What was not begun never ran; the rest may have.
     fn closed(&mut self, _: Time, shared: &mut Shared) {
+        shared.written += self.channel.whole;
         let unsent = self.is_unsent();
         if let Some(run) = self.running.take() {
             let ending = if unsent { Ending::NotSent } else { Ending::Broken };
@@ -276,7 +283,12 @@
 
     fn send(&mut self, command: u8, parts: &[&[u8]]) -> u64 {
         let payload = [&[command], parts.concat().as_slice()].concat();
-        self.channel.push(packet::packet(0, &payload))
+        let packet = packet::packet(0, &payload);
+        if matches!(command, command::QUERY | command::EXECUTE) {
+            self.channel.push_counted(packet)
+        } else {
+            self.channel.push(packet)
+        }
     }
 
     /// Sends the attempt, or first what prepares its statement.
--- a/src/link/resp/mod.rs
+++ b/src/link/resp/mod.rs
@@ -30,6 +30,8 @@
     /// Calls of which no byte went out before their connection ended; they go by another one.
     again: Vec<(Call, usize)>,
     timers: Timers<Alarm>,
+    /// Attempts that went out whole on connections that have ended.
+    written: u64,
 }
 
 /// An attempt on its connection.
@@ -74,7 +76,8 @@
 
 impl Resp {
     pub fn new(part: u8, poller: Rc<Poller>, limits: Rc<Limits>) -> Self {
-        let shared = Shared { limits, news: VecDeque::new(), again: Vec::new(), timers: Timers::default() };
+        let (news, again, timers) = (VecDeque::new(), Vec::new(), Timers::default());
+        let shared = Shared { limits, news, again, timers, written: 0 };
         Self { table: Table::new(part, poller), engines: Engines::default(), calls: HashMap::new(), shared }
     }
 
@@ -216,7 +219,7 @@
             }
         };
         let Some(line) = self.table.get(token) else { return };
-        let tag = line.channel.push(request(now, &call));
+        let tag = line.channel.push_counted(request(now, &call));
         self.calls.insert((call.id.clone(), call.attempt), token);
         let (pages, missing, size, report) = (Vec::new(), 0, 0, None);
         let run = Running { sent: now, moves, tag, pages, missing, size, report, call };
@@ -269,6 +272,10 @@
         line.channel.push(array(&[b"RANK", id.as_bytes(), rank.to_string().as_bytes()]));
         self.settle(now, token);
     }
+
+    fn written(&self) -> u64 {
+        self.shared.written + self.table.all().map(|line| line.channel.whole).sum::<u64>()
+    }
 }
 
 /// The command that starts an attempt.
@@ -329,6 +336,7 @@
 
     /// What was still unsent never ran; the rest may have.
     fn closed(&mut self, _: Time, shared: &mut Shared) {
+        shared.written += self.channel.whole;
         for (id, run) in self.running.drain() {
             let unsent = self.channel.take_back(run.tag);
             let was_up = !self.channel.connecting || self.channel.reset;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod config;
+mod console;
 mod core;
 mod daemon;
 mod front;
--- a/src/net/channel.rs
+++ b/src/net/channel.rs
@@ -18,6 +18,7 @@
 
 struct Message {
     tag: u64,
+    counts: bool,
     bytes: Vec<u8>,
 }
 
@@ -30,6 +31,8 @@
     queued: usize,
     next_tag: u64,
     pub connecting: bool,
+    /// Messages that count, of those that have gone out whole.
+    pub whole: u64,
     /// It was reset before it came up here: its peer had taken it.
     pub reset: bool,
 }
@@ -65,15 +68,25 @@
             queued: 0,
             next_tag: 0,
             connecting,
+            whole: 0,
             reset: false,
         }
     }
 
     /// Queues a message and returns the tag by which it can be taken back.
     pub fn push(&mut self, bytes: Vec<u8>) -> u64 {
+        self.queue(bytes, false)
+    }
+
+    /// The same for one that counts.
+    pub fn push_counted(&mut self, bytes: Vec<u8>) -> u64 {
+        self.queue(bytes, true)
+    }
+
+    fn queue(&mut self, bytes: Vec<u8>, counts: bool) -> u64 {
         self.next_tag += 1;
         self.queued += bytes.len();
-        self.output.push_back(Message { tag: self.next_tag, bytes });
+        self.output.push_back(Message { tag: self.next_tag, counts, bytes });
         self.next_tag
     }
 
@@ -101,6 +114,7 @@
                 Ok(count) => {
                     self.written += count;
                     if self.written == front.bytes.len() {
+                        self.whole += u64::from(front.counts);
                         self.queued -= self.written;
                         self.written = 0;
                         self.output.pop_front();
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -1,10 +1,24 @@
 //! A listening socket that takes connections only while there is room.
 
 use super::{Channel, Poller, Token};
+use rustix::process::{getpid, pidfd_getfd, pidfd_open, PidfdFlags, PidfdGetfdFlags};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::os::fd::RawFd;
 use std::rc::Rc;
 
+/// The listening socket that the platform holds and this process has inherited under that number. A copy is
+/// asked of the kernel by way of the process itself: a number alone proves no ownership.
+pub fn inherited(number: RawFd) -> io::Result<TcpListener> {
+    let myself = pidfd_open(getpid(), PidfdFlags::empty())?;
+    let socket = TcpListener::from(pidfd_getfd(myself, number, PidfdGetfdFlags::empty())?);
+    if rustix::net::sockopt::socket_acceptconn(&socket)? {
+        Ok(socket)
+    } else {
+        Err(io::Error::new(io::ErrorKind::InvalidInput, "it does not listen"))
+    }
+}
+
 /// Connections that may wait in the kernel's line.
 const LINE: i32 = 4096;
 
@@ -19,8 +33,7 @@
     /// The place in a listener's token, which no connection has.
     pub const PLACE: u32 = u32::MAX;
 
-    pub fn bind(part: u8, address: SocketAddr, poller: Rc<Poller>) -> io::Result<Self> {
-        let socket = TcpListener::bind(address)?;
+    pub fn new(part: u8, socket: TcpListener, poller: Rc<Poller>) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
         // The library's own line is short: a crowd would fill it, and who comes then waits a second and more.
         rustix::net::listen(&socket, LINE)?;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,7 +11,7 @@
 
 pub use channel::Channel;
 pub use clock::{Clock, Time};
-pub use listener::Listener;
+pub use listener::{inherited, Listener};
 pub use poller::{Poller, Ready, Token};
 pub use table::{Connection, Flow, Table};
 pub use timers::Timers;
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -86,6 +86,11 @@
         self.open(token).map(|open| &mut open.connection)
     }
 
+    /// All connections.
+    pub fn all(&self) -> impl Iterator<Item = &C> {
+        self.slots.iter().filter_map(|slot| slot.open.as_ref().map(|open| &open.connection))
+    }
+
     /// The connection with the least of what `rank` gives, among those that it gives something.
     pub fn least<R: PartialOrd>(&self, rank: impl Fn(&C) -> Option<R>) -> Option<Token> {
         let mut least: Option<(R, Token)> = None;
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -13,7 +13,7 @@
 use serde::Deserialize;
 use std::collections::VecDeque;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::rc::Rc;
 
@@ -80,7 +80,8 @@
             Some(path) => Entries::load(path)?,
             None => Entries::default(),
         };
-        let listener = Listener::bind(part, config.listen, poller.clone());
+        let listener =
+            TcpListener::bind(config.listen).and_then(|socket| Listener::new(part, socket, poller.clone()));
         let listener = listener.map_err(|e| format!("{FILE}: listen {}: {e}", config.listen))?;
         let peer = |address| Peer { address, line: None, at: 0.0 };
         let (changed, writes, origin) = (VecDeque::new(), Vec::new(), origin.to_string());
--- a/tests/daemon/mod.rs
+++ b/tests/daemon/mod.rs
@@ -3,6 +3,7 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
@@ -43,6 +44,7 @@
     pub http: Option<SocketAddr>,
     pub mysql: Option<SocketAddr>,
     pub store: Option<SocketAddr>,
+    pub console: Option<SocketAddr>,
     folder: PathBuf,
 }
 
@@ -55,14 +57,14 @@
     };
     let servers = engines.iter().map(server).collect::<Vec<_>>().join(",");
     format!(
-        r#"{{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"sockets":256}},"names":"{names}",
+        r#"{{"name":"n1","listen":"127.0.0.1:0","console":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"sockets":256}},"names":"{names}",
         "known":{{"n":1,"events":[{{"n":1,"members":{{"full":true,"servers":[{servers}]}}}}]}},"settings":{SETTINGS}}}"#
     )
 }
 
 impl Daemon {
     /// Starts the program with these files in its `deploy/`.
-    pub fn start(config: &str, files: &[(&str, String)]) -> Self {
+    pub fn start(config: &str, files: &[(&str, String)], held: Option<&TcpListener>) -> Self {
         // A folder of its own: the thread's and the process's numbers name it.
         let name = format!("dahliaspoke-{}-{:?}", std::process::id(), std::thread::current().id());
         let folder = std::env::temp_dir().join(name.replace(['(', ')'], ""));
@@ -71,19 +73,33 @@
         for (name, text) in files {
             std::fs::write(folder.join("deploy").join(name), text).expect("written");
         }
-        Self::run(folder)
+        Self::run(folder, held)
     }
 
     /// Starts it again with what it has left behind.
     pub fn again(mut self) -> Self {
         let folder = std::mem::take(&mut self.folder);
         drop(self);
-        Self::run(folder)
+        Self::run(folder, None)
     }
 
-    fn run(folder: PathBuf) -> Self {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_dahliaspoke"))
+    /// Starts it once more beside this one, with the same folders and the socket that is held for both.
+    pub fn beside(&mut self, held: &TcpListener) -> Self {
+        Self::run(std::mem::take(&mut self.folder), Some(held))
+    }
+
+    /// `held` is a listening socket that it inherits as descriptor 5.
+    fn run(folder: PathBuf, held: Option<&TcpListener>) -> Self {
+        let program = env!("CARGO_BIN_EXE_dahliaspoke");
+        let mut command = Command::new(if held.is_some() { "sh" } else { program });
+        if let Some(held) = held {
+            let held = OwnedFd::from(held.try_clone().expect("a copy"));
+            command.args(["-c", "exec \"$0\" 5<&0 0</dev/null", program]);
+            command.stdin(held).env("NODE_INHERITED_FD", "5");
+        }
+        let mut child = command
             .current_dir(&folder)
+            .env("TMPDIR", &folder)
             .env("NODE_CONFIG", folder.join("config.json"))
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
@@ -92,7 +108,7 @@
         let (send, lines) = channel();
         let stdout = BufReader::new(child.stdout.take().expect("piped"));
         std::thread::spawn(move || stdout.lines().map_while(Result::ok).try_for_each(|line| send.send(line)));
-        let mut daemon = Self { child, lines, http: None, mysql: None, store: None, folder };
+        let mut daemon = Self { child, lines, http: None, mysql: None, store: None, console: None, folder };
         // It tells of its doors, the platform's last; where the configuration is bad it ends instead.
         while let Ok(line) = daemon.lines.recv_timeout(PATIENCE) {
             let address = line.rsplit(' ').next().and_then(|a| a.parse().ok());
@@ -100,6 +116,8 @@
                 daemon.mysql = address;
             } else if line.contains("stores on") {
                 daemon.store = address;
+            } else if line.contains("hears operators on") {
+                daemon.console = address;
             } else if line.contains("listens on") {
                 daemon.http = address;
                 break;
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -1,10 +1,12 @@
 //! Plays the recorded byte exchanges in `tests/exchanges` against the program. A step a line:
 //!
 //! - `start e1 e2`: the program starts and knows these engines; `mysql`, `consul` and
-//!   `store` switch these on; `again`: the program starts once more, with what it has left behind;
+//!   `store` switch these on, `inherits` has it inherit its listening socket; `again`: the program starts once more,
+//!   with what it has left behind; `beside`: the same beside the first, which is `old` from then on, as in
+//!   `old signal TERM`;
 //! - `a > bytes`, `a < bytes`: client `a` of the platform's front sends, or receives exactly that;
 //!   `m...` is a client of the MySQL front, `e...` an engine, `names` the directory, `consul` its agent, `p...` a
-//!   peer of the store, `s...` an operator's connection to it;
+//!   peer of the store, `s...` an operator's connection to it, `o...` one to the operators' door;
 //! - `e1+` is another connection to that engine, beside the first;
 //! - `a ended`, `a close`: its connection was ended, or it ends it; `e1 next`: the engine's next connection;
 //! - `e1 gone`: nobody listens there any more;
@@ -21,7 +23,7 @@
 use rstest::rstest;
 use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 
 const MYSQL: &str = r#"
@@ -42,6 +44,8 @@
 
 struct Player {
     daemon: Option<Daemon>,
+    old: Option<Daemon>,
+    held: Option<TcpListener>,
     engines: HashMap<String, Named>,
     ports: HashMap<String, u16>,
     streams: HashMap<String, TcpStream>,
@@ -115,6 +119,7 @@
                     let door = match who.as_bytes()[0] {
                         b'm' => daemon.mysql,
                         b's' => daemon.store,
+                        b'o' => daemon.console,
                         _ => daemon.http,
                     };
                     TcpStream::connect(door.expect("that door is open")).expect("connected")
@@ -186,7 +191,19 @@
                     files.push(("store.toml", text));
                 }
                 let config = self.config();
-                self.daemon = Some(Daemon::start(&config, &files));
+                let held = parts.contains(&"inherits").then(|| TcpListener::bind("127.0.0.1:0"));
+                self.held = held.map(|socket| socket.expect("a port"));
+                self.daemon = Some(Daemon::start(&config, &files, self.held.as_ref()));
+            }
+            ("beside", _) => {
+                let held = self.held.as_ref().expect("inherits");
+                let beside = self.daemon.as_mut().expect("started").beside(held);
+                self.old = self.daemon.replace(beside);
+            }
+            ("old", _) => {
+                std::mem::swap(&mut self.daemon, &mut self.old);
+                self.step(rest);
+                std::mem::swap(&mut self.daemon, &mut self.old);
             }
             ("signal", name) => self.daemon.as_ref().expect("started").signal(name),
             ("crowd", _) => {
@@ -249,6 +266,8 @@
     let joined = text.replace("\n  ", "");
     let mut player = Player {
         daemon: None,
+        old: None,
+        held: None,
         engines: HashMap::new(),
         ports: HashMap::new(),
         streams: HashMap::new(),
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -165,7 +165,8 @@
         statement = [{{ starts = "select", class = "lookup" }}, {{ starts = "insert", class = "load" }}]
         engine = {{ port = 3306, user = "gateway", addresses = {{ {addresses} }} }}"#
     );
-    let daemon = Daemon::start(&config(&known, names.local_addr().expect("bound")), &[("mysql.toml", toml)]);
+    let daemon =
+        Daemon::start(&config(&known, names.local_addr().expect("bound")), &[("mysql.toml", toml)], None);
     World { daemon, names }
 }
 
