Operators leave worker groups out and call them back, across upgrades

Now a ban is laid over the list where the daemon hands it to links and core (Daemon::follow): such a worker group drains, whatever the directory says, from the time of the call on. What is called back counts as just started: it was restarted meanwhile, and the list may tell that late.

--- a/src/console/mod.rs
+++ b/src/console/mod.rs
@@ -5,6 +5,7 @@
 use crate::front::http::{self, Bad, Read};
 use crate::limits::Limits;
 use crate::net::{Channel, Connection, Flow, Poller, Time, Token};
+use dahliaspoke::interface::EngineId;
 use std::collections::VecDeque;
 use std::io;
 use std::net::TcpListener;
@@ -15,6 +16,10 @@
 pub enum Command {
     Health,
     Stats,
+    /// Leave the engine out.
+    Ban(EngineId),
+    /// It may serve again.
+    Lift(EngineId),
 }
 
 /// What all callers have in common.
@@ -130,7 +135,11 @@
     let (wanted, command) = match path {
         "/healthcheck" => ("GET", Command::Health),
         "/stats" => ("GET", Command::Stats),
-        _ => return Err(Bad(404)),
+        _ => match path.strip_prefix("/worker-groups/").and_then(|rest| rest.split_once('/')) {
+            Some((id, "maint")) => ("POST", Command::Ban(id.into())),
+            Some((id, "ready")) => ("POST", Command::Lift(id.into())),
+            _ => return Err(Bad(404)),
+        },
     };
     if method == wanted {
         Ok(command)
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -9,13 +9,14 @@
 use crate::limits::Limits;
 use crate::link::mysql::MysqlLink;
 use crate::link::resp::Resp;
+use crate::membership::bans::Bans;
 use crate::membership::consul::{self, Consul};
 use crate::membership::dns::Directory;
 use crate::membership::{known, Member, Members};
 use crate::mysql::{self, config::Mysql};
 use crate::net::{inherited, Clock, Poller, Ready, Time, Token};
 use crate::store::{self, Store};
-use dahliaspoke::interface::{Lifecycle, Scope};
+use dahliaspoke::interface::{EngineId, Lifecycle, Scope};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::io::Read;
 use std::net::TcpListener;
@@ -61,6 +62,10 @@
     store: Option<Store>,
     /// The engines as last told, as the store keeps them.
     members: Members,
+    /// The engines that operators have left out.
+    bans: Bans,
+    /// When to look whether another process has changed them.
+    look: Time,
     /// The operators' door, where the configuration has one.
     console: Option<Console>,
     /// The platform holds the clients' listening socket, and another process takes this one's place.
@@ -140,6 +145,8 @@
             mysql,
             store,
             members: Members::default(),
+            bans: Bans::open(),
+            look: now,
             resp: Resp::new(RESP, poller.clone(), limits.clone()),
             poller,
             limits,
@@ -192,6 +199,7 @@
             self.console.as_mut().and_then(Console::next),
             self.farewell.filter(|at| *at > now),
             Some(self.handover),
+            Some(self.look),
         ];
         parts.into_iter().flatten().fold(f64::INFINITY, f64::min)
     }
@@ -214,6 +222,11 @@
             front.alarm(now);
             link.alarm(now);
         }
+        if self.look <= now {
+            self.look = now + self.limits.look;
+            let news = self.bans.look();
+            self.banned(now, news);
+        }
         let over = self.handover <= now;
         let (core, mut doors) = self.doors();
         core.alarm(now, &mut doors);
@@ -305,28 +318,71 @@
         }
     }
 
+    /// Takes news of the list.
     fn members(&mut self, now: Time, scope: Scope, members: Vec<Member>) {
-        for member in &members {
-            // One that is gone is no longer in the list, but its attempts may be out.
-            let (id, lifecycle) = (&member.entry.id, member.entry.lifecycle);
-            self.resp.engine(now, id, lifecycle, member.address);
-            if let Some((_, link)) = &mut self.mysql {
-                link.engine(now, id, lifecycle, member.address.map(|a| a.ip()));
-            }
-            if member.entry.lifecycle != Lifecycle::Ready {
-                println!("{now:.3} engine {} is {:?}", member.entry.id, member.entry.lifecycle);
-            }
-        }
         self.members.change(members.clone());
         // One that knows of none has nothing to tell: peers may know better.
         if let Some(store) = self.store.as_mut().filter(|_| !self.members.all().is_empty()) {
             store.set(now, store::ENGINES, &known::write(&self.members));
         }
+        self.follow(now, scope, members);
+    }
+
+    /// Tells links and core of engines. One that operators have left out drains, whatever the list says.
+    fn follow(&mut self, now: Time, scope: Scope, mut members: Vec<Member>) {
+        for Member { entry, address } in &mut members {
+            let banned = self.bans.since(&entry.id).filter(|_| entry.lifecycle == Lifecycle::Ready);
+            if banned.is_some() {
+                entry.lifecycle = Lifecycle::Draining;
+            }
+            // One that is gone is no longer in the list, but its attempts may be out.
+            let told = banned.unwrap_or(now);
+            self.resp.engine(told, &entry.id, entry.lifecycle, *address);
+            if let Some((_, link)) = &mut self.mysql {
+                link.engine(told, &entry.id, entry.lifecycle, address.map(|a| a.ip()));
+            }
+            if entry.lifecycle != Lifecycle::Ready {
+                println!("{now:.3} engine {} is {:?}", entry.id, entry.lifecycle);
+            }
+        }
         let entries = members.into_iter().map(|m| m.entry).collect();
         let (core, mut doors) = self.doors();
         core.engines(now, scope, entries, &mut doors);
     }
 
+    /// Operators have left these engines out, or have called them back. What comes back was restarted
+    /// meanwhile, perhaps just now, and the list may tell that late: it counts as cold from here.
+    fn banned(&mut self, now: Time, engines: Vec<EngineId>) {
+        for id in engines {
+            let out = self.bans.since(&id).is_some();
+            println!("{now:.3} engine {id} {}", if out { "is left out" } else { "may serve again" });
+            let Some(mut member) = self.members.get(&id).cloned() else { continue };
+            if !out {
+                member.entry.started = Some(now);
+            }
+            self.follow(now, Scope::Changes, vec![member]);
+        }
+    }
+
+    /// Leaves an engine out, or calls it back: the status that says whether that was done.
+    fn maintain(&mut self, now: Time, id: EngineId, out: bool) -> (u16, String) {
+        let news = self.bans.look();
+        self.banned(now, news);
+        let was = self.bans.since(&id).is_some();
+        if !was && self.members.get(&id).is_none() {
+            return (404, format!("no worker group {id}\n"));
+        }
+        let kept = if out { self.bans.ban(now, &id) } else { self.bans.lift(&id) };
+        if let Err(e) = kept {
+            println!("{now:.3} maintenance of {id}: {e}");
+            return (500, format!("not kept: {e}\n"));
+        }
+        if was != out {
+            self.banned(now, vec![id]);
+        }
+        (200, "done\n".into())
+    }
+
     /// Carries out what operators ask for.
     fn commands(&mut self, now: Time) {
         while let Some((token, command)) = self.console.as_mut().and_then(Console::command) {
@@ -334,6 +390,8 @@
                 Command::Health if self.farewell.is_some() => (503, "leaving\n".to_string()),
                 Command::Health => (200, "ok\n".to_string()),
                 Command::Stats => (200, self.stats()),
+                Command::Ban(id) => self.maintain(now, id, true),
+                Command::Lift(id) => self.maintain(now, id, false),
             };
             if let Some(console) = &mut self.console {
                 console.tell(now, token, status, &text);
@@ -401,8 +459,11 @@
             line(&format!("failed.{class}"), answers.failed);
         }
         let members = self.members.all();
-        let ready = |m: &&Member| m.entry.lifecycle == Lifecycle::Ready && !self.core.avoids(&m.entry.id);
-        let available = members.iter().filter(ready).count();
+        let serves = |m: &&Member| {
+            let ready = m.entry.lifecycle == Lifecycle::Ready && self.bans.since(&m.entry.id).is_none();
+            ready && !self.core.avoids(&m.entry.id)
+        };
+        let available = members.iter().filter(serves).count();
         let mysql = self.mysql.as_ref().map_or(0, |(_, link)| link.written());
         line("upstream_requests", self.resp.written() + mysql);
         line("pending", self.core.open() as u64);
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -92,6 +92,8 @@
     pub entries: usize,
     /// A value in the store.
     pub entry: usize,
+    /// Pause between two looks at what another process has left out.
+    pub look: f64,
     /// Operators' connections held at once.
     pub callers: usize,
     /// From SIGTERM until the program may end: connections that came before are still served.
@@ -188,6 +190,7 @@
             replicas: 16,
             entries: 64,
             entry: 128 << 10,
+            look: 0.2,
             callers: CALLERS,
             farewell: if in_pairs { handover - ANSWERS_OUT } else { 1.0 },
             handover,
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,5 +1,6 @@
 //! Which engines there are. A source of membership tells the core of changes and the links of addresses.
 
+pub mod bans;
 pub mod consul;
 pub mod dns;
 pub mod known;
@@ -45,6 +46,10 @@
         changes
     }
 
+    pub fn get(&self, id: &EngineId) -> Option<&Member> {
+        self.0.get(id)
+    }
+
     pub fn all(&self) -> Vec<Member> {
         self.0.values().cloned().collect()
     }
