Let the bound of an engine that came up cold come back as it warms

A probe of every refusal of a load: 184 times an engine's cold budget was spent, 186 times its bound was full, though its cores stood at 0.24 to 0.5; bounds of engines up for 10 s and more were 4400 to 5000 ms, a third of the usual.

At fault: Gateway::on_list cuts the bound of a new process to the cold share and leaves the rest to the PI law, which moves it by under 2 % a second (and not at all in a second without finishes). Ruled out: memory (5 refusals of 520), ejection (24), the number of attempts.

Now control() gives back each second what the start has cut, as the engine warms; what the law has added or taken stays. The budget of rule 4 still bounds what goes there.

Test: in failures.rs, seen to fail on the old module.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -158,6 +158,7 @@
     sends: Vec<(f64, f64)>,
     // control loop
     bound: f64,
+    warmth: f64, // share of its capacity that the bound was last cut to
     delta: f64,
     last_error: f64,
     ddr_sum: f64,
@@ -334,6 +335,7 @@
                 cores,
                 memory,
                 bound: start,
+                warmth: 1.0,
                 started: f64::NEG_INFINITY,
                 unreached: f64::NEG_INFINITY,
                 cold_spent_until: f64::NEG_INFINITY,
@@ -347,7 +349,8 @@
             // own restart is not known, so the first window counts as spent (rule 4).
             if started > known.started && now - started < self.settings.cold_for {
                 let flights = std::mem::take(&mut known.flights);
-                *known = Engine { flights, bound: start * self.settings.cold_share, ..fresh() };
+                let warmth = self.settings.warmth(now - started);
+                *known = Engine { flights, bound: start * warmth, warmth, ..fresh() };
                 if scope == Scope::Restored {
                     known.cold_spent_until = now + self.settings.fall_window;
                 }
@@ -969,12 +972,12 @@
         self.classes.iter_mut().for_each(|c| c.demand *= 1.0 - TICK / LATELY);
         if self.next_loop.is_some_and(|at| now + 1e-6 >= at) {
             self.next_loop = Some(now + PERIOD);
-            self.control();
+            self.control(now);
         }
     }
 
     /// Each second, per engine: the velocity-form PI law on mean DDR.
-    fn control(&mut self) {
+    fn control(&mut self, now: f64) {
         let live = |e: &&Engine| e.live() && !e.ejected;
         let sum = |of: fn(&Engine) -> f64| self.engines.values().filter(live).map(of).sum::<f64>();
         let pool_count = sum(|e| f64::from(e.ddr_count));
@@ -992,6 +995,10 @@
         let turned_away = std::mem::take(&mut self.turned_away);
         self.peak = 0.0;
         for engine in self.engines.values_mut() {
+            // What a start has cut the bound by comes back as the engine warms; the law would take minutes.
+            let warmth = self.settings.warmth(now - engine.started);
+            engine.bound *= warmth.max(engine.warmth) / engine.warmth;
+            engine.warmth = warmth.max(engine.warmth);
             let backlog = engine.backlog();
             // A gateway's part of what an engine does: less than one query where gateways outnumber cores.
             let part = (engine.cores / self.settings.gateways).min(1.0);
@@ -1033,6 +1040,14 @@
     }
 }
 
+impl Settings {
+    /// Share of its capacity that an engine of this age has at least.
+    fn warmth(&self, age: f64) -> f64 {
+        let warmed = (age / self.cold_for.max(1e-9)).clamp(0.0, 1.0);
+        (self.cold_share + (1.0 - self.cold_share) * warmed).clamp(0.01, 1.0)
+    }
+}
+
 /// This gateway's quiet-day share of an engine (ms of work).
 fn starting_bound(settings: &Settings, cores: f64) -> f64 {
     START_PER_CORE.min(START_ALL / settings.gateways) * cores
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -465,3 +465,15 @@
     w.end("s", 0, Outcome::Reset);
     assert_eq!(w.gateway.known().0, 0);
 }
+
+#[test]
+fn the_bound_of_an_engine_that_came_up_cold_comes_back_as_it_warms() {
+    let mut w = World::new(lookups(), &["e1"]);
+    let usual = w.bound("e1");
+    w.list(Scope::Changes, vec![EngineEntry { started: Some(w.now), ..engine("e1") }]);
+    assert!(w.bound("e1") <= 0.31 * usual, "cut to what a cold engine bears: {}", w.bound("e1"));
+    w.wait(7.0);
+    assert!(w.bound("e1") < 0.7 * usual, "half warm: {}", w.bound("e1"));
+    w.wait(9.0);
+    assert!(w.bound("e1") > 0.99 * usual, "warm again: {}", w.bound("e1"));
+}
