A worker group that restarts may be left out though it is not in the list

By the logs, n0 was in an upgrade when the others were told to leave s- out; what it did hear fell into the time when that was restarting (Gone 7.66, back 9.5). Ruled out: the patience with slow callers (6 s for 2 s changed nothing), the file, the other process.

At fault: Daemon::maintain knew the list of the moment alone and said no. Now an id that left the list in the last minute is known; the ban waits for it. Limits::remembered lets it go.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -18,6 +18,7 @@
 use crate::store::{self, Store};
 use dahliaspoke::interface::{EngineId, Lifecycle, Scope};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
+use std::collections::HashMap;
 use std::io::Read;
 use std::net::TcpListener;
 use std::os::unix::net::UnixStream;
@@ -62,6 +63,8 @@
     store: Option<Store>,
     /// The engines as last told, as the store keeps them.
     members: Members,
+    /// Engines that have left the list, and when: one that restarts is not unknown meanwhile.
+    gone: HashMap<EngineId, Time>,
     /// The engines that operators have left out.
     bans: Bans,
     /// When to look whether another process has changed them.
@@ -145,6 +148,7 @@
             mysql,
             store,
             members: Members::default(),
+            gone: HashMap::new(),
             bans: Bans::open(),
             look_at: now,
             resp: Resp::new(RESP, poller.clone(), limits.clone()),
@@ -323,6 +327,9 @@
     /// Takes news of the list.
     fn members(&mut self, now: Time, scope: Scope, members: Vec<Member>) {
         self.members.change(members.clone());
+        let left = members.iter().filter(|m| m.entry.lifecycle == Lifecycle::Gone);
+        self.gone.extend(left.map(|m| (m.entry.id.clone(), now)));
+        self.gone.retain(|_, at| now - *at < self.limits.remembered);
         // One that knows of none has nothing to tell: peers may know better.
         if let Some(store) = self.store.as_mut().filter(|_| !self.members.all().is_empty()) {
             store.set(now, store::ENGINES, &known::write(&self.members));
@@ -378,7 +385,7 @@
     fn maintain(&mut self, now: Time, id: EngineId, out: bool) -> (u16, String) {
         self.look(now);
         let was = self.bans.since(&id).is_some();
-        if !was && self.members.get(&id).is_none() {
+        if !was && self.members.get(&id).is_none() && !self.gone.contains_key(&id) {
             return (404, format!("no worker group {id}\n"));
         }
         if out {
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -94,6 +94,8 @@
     pub entry: usize,
     /// Pause between two looks at what another process has left out.
     pub look: f64,
+    /// An engine that has left the list may be left out by operators for so long: it may be restarting.
+    pub remembered: f64,
     /// Operators' connections held at once.
     pub callers: usize,
     /// From SIGTERM until the program may end: connections that came before are still served.
@@ -191,6 +193,7 @@
             entries: 64,
             entry: 128 << 10,
             look: 0.2,
+            remembered: 60.0,
             callers: CALLERS,
             farewell: if in_pairs { handover - ANSWERS_OUT } else { 1.0 },
             handover,
