--- a/crates/bodies/src/plan.rs
+++ b/crates/bodies/src/plan.rs
@@ -12,7 +12,7 @@
 //! What holds at all times (`tests/plan.rs` tries to break it):
 //!
 //! 1. Bytes in a tier stay within its budget, and those of a class within the class's share of it.
-//! 2. No more windows are taken than there are; those of arrivals leave some for replays.
+//! 2. Windows, counted in chunks, stay within their budget; those of arrivals leave some for replays.
 //! 3. A body that is here whole never becomes a passed one.
 //! 4. Only a body that is whole, in memory and not being read is demoted, and of those the one that is worth
 //!    least by the byte.
@@ -60,8 +60,8 @@
     pub memory: u64,
     /// Bytes of bodies in files; 0 for no files.
     pub files: u64,
-    /// Windows: what a body that goes by, to or from a file or passed on, holds in memory meanwhile.
-    pub windows: usize,
+    /// Chunks for windows: what a body that goes by, to or from a file or passed on, holds in memory meanwhile.
+    pub chunks: usize,
     /// By class.
     pub classes: Vec<ClassRules>,
 }
@@ -70,6 +70,12 @@
 const HIGH: f64 = 0.875;
 /// Largest share of the memory that one body may take: a few large ones must not send all others to files.
 const ONE: f64 = 0.25;
+/// Window of a body on its way to a file (chunks): one that fills and one that is written.
+pub const TO_FILE: usize = 2;
+/// Window of a body that is passed on (chunks): one that fills and what is still here for an attempt that never ran.
+pub const PASSED: usize = 5;
+/// Window of a replay from a file (chunks): two read ahead and two on their way to the engine.
+pub const REPLAY: usize = 4;
 /// Share of the windows that arrivals may hold.
 const ARRIVALS: f64 = 0.75;
 /// What the worth of a body counts where no attempt can follow one that may have run.
@@ -126,8 +132,8 @@
     pub moving: bool,
     /// It began in a file and is passed on; what is there counts until it is closed.
     pub fallen: bool,
-    /// It holds a window.
-    pub window: bool,
+    /// Chunks of the window that it holds.
+    pub window: usize,
 }
 
 /// The decisions on bodies.
@@ -182,7 +188,7 @@
         self.used
     }
 
-    /// Windows that are taken, by arrivals and by replays.
+    /// Chunks of windows that are taken, by arrivals and by replays.
     pub fn windows(&self) -> (usize, usize) {
         (self.arrivals, self.replays)
     }
@@ -202,31 +208,31 @@
             return Err(Refusal::TooLarge);
         }
         let (pass, one) = (rules.pass, (ONE * self.rules.memory as f64) as u64);
-        let window = self.has_window();
         let tier = if length <= one && self.fits(Tier::Memory, class, length) {
             Tier::Memory
-        } else if window && now >= self.files_from && self.fits(Tier::File, class, length) {
+        } else if self.has(TO_FILE) && now >= self.files_from && self.fits(Tier::File, class, length) {
             Tier::File
-        } else if window && pass {
+        } else if self.has(PASSED) && pass {
             Tier::Passed
         } else {
             self.figures[class].refused += 1;
             return Err(Refusal::NoRoom);
         };
         self.last += 1;
-        let window = tier != Tier::Memory;
+        let window = [0, TO_FILE, PASSED][place(tier)];
         let (whole, readers, moving, fallen) = (false, 0, false, false);
         let held = Held { class, length, deadline, tier, whole, readers, moving, fallen, window };
-        self.arrivals += usize::from(window);
+        self.arrivals += window;
         self.held.insert(self.last, held);
         self.count(class, tier, length, true);
         self.figures[class].taken[place(tier)] += 1;
         Ok((self.last, tier))
     }
 
-    fn has_window(&self) -> bool {
-        let most = (ARRIVALS * self.rules.windows as f64) as usize;
-        self.arrivals < most && self.arrivals + self.replays < self.rules.windows
+    /// Whether an arrival may have a window of so many chunks.
+    fn has(&self, chunks: usize) -> bool {
+        let most = (ARRIVALS * self.rules.chunks as f64) as usize;
+        self.arrivals + chunks <= most && self.arrivals + self.replays + chunks <= self.rules.chunks
     }
 
     fn fits(&self, tier: Tier, class: usize, length: u64) -> bool {
@@ -257,8 +263,8 @@
     pub fn whole(&mut self, id: BodyId) {
         let Some(held) = self.held.get_mut(&id) else { return };
         held.whole = true;
-        if held.tier != Tier::Passed && std::mem::take(&mut held.window) {
-            self.arrivals -= 1;
+        if held.tier != Tier::Passed {
+            self.arrivals -= std::mem::take(&mut held.window);
         }
     }
 
@@ -310,8 +316,8 @@
         self.files_from = self.files_from.max(until);
     }
 
-    /// A body that is coming in cannot go to its file: whether it is passed on from here. If not, it cannot be
-    /// taken. One that is whole is left as it is.
+    /// A body that is coming in cannot go to its file: whether it is passed on from here, in the window that it
+    /// has. If not, it cannot be taken. One that is whole is left as it is.
     pub fn fall(&mut self, id: BodyId) -> bool {
         let Some(held) = self.held.get_mut(&id).filter(|h| h.tier == Tier::File && !h.whole) else {
             return false;
@@ -335,10 +341,10 @@
     pub fn read(&mut self, id: BodyId) -> bool {
         let Some(held) = self.held.get_mut(&id) else { return false };
         if held.tier == Tier::File {
-            if self.arrivals + self.replays >= self.rules.windows {
+            if self.arrivals + self.replays + REPLAY > self.rules.chunks {
                 return false;
             }
-            self.replays += 1;
+            self.replays += REPLAY;
         }
         held.readers += 1;
         true
@@ -346,7 +352,7 @@
 
     /// A reader has ended; `windowed` if it took a window.
     pub fn read_over(&mut self, id: BodyId, windowed: bool) {
-        self.replays -= usize::from(windowed);
+        self.replays -= if windowed { REPLAY } else { 0 };
         if let Some(held) = self.held.get_mut(&id) {
             held.readers -= 1;
         }
@@ -369,7 +375,7 @@
     /// Gives back all that the body held.
     pub fn close(&mut self, id: BodyId) {
         let Some(held) = self.held.remove(&id) else { return };
-        self.arrivals -= usize::from(held.window);
+        self.arrivals -= held.window;
         self.count(held.class, held.tier, held.length, false);
         if held.moving || held.fallen {
             self.count(held.class, Tier::File, held.length, false);
--- a/crates/bodies/src/spool.rs
+++ b/crates/bodies/src/spool.rs
@@ -4,7 +4,7 @@
 //! A body is a row of chunks. Each is in memory, or on its way to a slot of the store, or there with its sum.
 //! A chunk that is read back with another sum is never handed out: the body is lost from then on.
 
-use crate::plan::{BodyId, Figures, Plan, Refusal, Rules, Tier};
+use crate::plan::{BodyId, Figures, Held, Plan, Refusal, Rules, Tier, REPLAY, TO_FILE};
 use crate::store::{Store, CHUNK};
 use rustix::event::{eventfd, EventfdFlags};
 use std::cell::RefCell;
@@ -19,15 +19,15 @@
 /// Bytes that are handed on without being copied.
 pub type Bytes = Arc<Vec<u8>>;
 
-/// Chunks of a body that may be on their way to the disk before its sender has to wait.
-const BEHIND: usize = 3;
-/// Chunks that a body which is passed on may hold before its sender has to wait.
-const WINDOW: usize = 4;
+/// Chunks of a body that may be on their way to the disk before its sender has to wait; one more is filled.
+const BEHIND: usize = TO_FILE - 1;
 /// Chunks that are read ahead of a reader, its own among them.
-const AHEAD: usize = 2;
+const AHEAD: usize = REPLAY / 2;
 
-/// Bytes that a window stands for: what one body that goes by, or one replay from a file, holds at most.
-pub const WINDOW_BYTES: u64 = (WINDOW * CHUNK) as u64;
+/// Bytes of whole chunks that a body which is passed on may hold; one more chunk is filled.
+fn window(held: &Held) -> usize {
+    held.window.saturating_sub(1) * CHUNK
+}
 
 /// Times of the spool (seconds).
 #[derive(Clone, Copy, Debug)]
@@ -402,7 +402,7 @@
             // What its reader has had can make room.
             Tier::Passed => {
                 let unread = content.unread(&self.readings).1 + content.last.len();
-                (WINDOW * CHUNK).saturating_sub(unread)
+                window(held).saturating_sub(unread)
             }
         };
         let room = room.min(rest);
@@ -470,12 +470,12 @@
 
     /// A body that is passed on keeps what its window holds; what its reader has had goes first.
     fn make_way(&mut self, id: BodyId) {
-        let Some(content) = self.contents.get_mut(&id) else { return };
+        let Some((content, held)) = self.contents.get_mut(&id).zip(self.plan.get(id)) else { return };
         let read = content.unread(&self.readings).0;
         let mut here: usize = content.chunks.iter().map(Chunk::resident).sum();
         let was = content.spent;
         for chunk in &mut content.chunks[..read] {
-            if here <= WINDOW * CHUNK {
+            if here <= window(held) {
                 break;
             }
             here -= chunk.resident();
--- a/src/bodies.rs
+++ b/src/bodies.rs
@@ -3,8 +3,8 @@
 use crate::config::{self, line_of};
 use crate::limits::Limits;
 use dahliaspoke::interface::{Effect, Settings};
-use dahliaspoke_bodies::plan::{ClassRules, Figures, Rules, Tier};
-use dahliaspoke_bodies::spool::{Pace, Spool, WINDOW_BYTES};
+use dahliaspoke_bodies::plan::{ClassRules, Figures, Rules, Tier, PASSED, REPLAY};
+use dahliaspoke_bodies::spool::{Pace, Spool};
 use dahliaspoke_bodies::store::{Folder, Segment, Store, CHUNK};
 use serde::Deserialize;
 use std::cell::RefCell;
@@ -23,8 +23,8 @@
 const MB: f64 = 1024.0 * 1024.0;
 /// Part of the memory that windows have.
 const WINDOWS: f64 = 0.25;
-/// Fewer windows than this are too few to tell arrivals and replays apart.
-const WINDOWS_LEAST: f64 = 4.0;
+/// Chunks without which a body that is passed on and a replay could not go beside each other.
+const CHUNKS_LEAST: f64 = 2.0 * (PASSED + REPLAY) as f64;
 /// Threads that call the disk.
 const THREADS: usize = 2;
 /// Files are tried again so long after one could not be written (s).
@@ -91,8 +91,7 @@
             }
             _ => Ok(()),
         };
-        // A window of each kind is the least that works.
-        let least = WINDOWS_LEAST * WINDOW_BYTES as f64 / WINDOWS / MB;
+        let least = CHUNKS_LEAST * CHUNK as f64 / WINDOWS / MB;
         within("memory_mb", Some(&self.memory_mb), least, 1e6)?;
         within("largest_mb", Some(&self.largest_mb), 0.001, 4_000.0)?;
         within("above_kb", self.above_kb.as_ref(), 0.0, 128.0)?;
@@ -145,12 +144,10 @@
             }
         });
         let memory = bytes(&self.memory_mb) as f64;
-        // A window holds one chunk more while it is being filled.
-        let windows = (WINDOWS * memory / (WINDOW_BYTES + CHUNK as u64) as f64).max(WINDOWS_LEAST) as usize;
         Rules {
             memory: ((1.0 - WINDOWS) * memory) as u64,
             files: self.files_mb.as_ref().map_or(0, bytes),
-            windows,
+            chunks: (WINDOWS * memory / CHUNK as f64) as usize,
             classes: classes.collect(),
         }
     }
