--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -51,6 +51,8 @@
     address: SocketAddr,
     /// Its life: connections end once it has changed.
     life: Arc<AtomicU64>,
+    /// Statements of which the beginning came.
+    begun: Arc<AtomicU64>,
 }
 
 fn line(reader: &mut impl BufRead) -> Option<usize> {
@@ -67,7 +69,7 @@
 }
 
 /// Serves one connection until it ends or the engine is killed.
-fn serve(stream: TcpStream, ledger: &Ledger, life: &AtomicU64) -> Option<()> {
+fn serve(stream: TcpStream, ledger: &Ledger, life: &AtomicU64, begun: &AtomicU64) -> Option<()> {
     let own = life.load(Ordering::SeqCst);
     stream.set_read_timeout(Some(Duration::from_millis(20))).ok()?;
     let mut writer = stream.try_clone().ok()?;
@@ -80,6 +82,7 @@
             continue;
         }
         let length = line(&mut reader)?;
+        begun.fetch_add(1, Ordering::SeqCst);
         let (mut sum, mut left) = (crc32fast::Hasher::new(), length);
         while left > 0 {
             let piece = reader.fill_buf().ok().filter(|piece| !piece.is_empty())?;
@@ -132,14 +135,15 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("bound");
         let life = Arc::new(AtomicU64::new(0));
-        let (shared, lives) = (ledger.clone(), life.clone());
+        let begun = Arc::new(AtomicU64::new(0));
+        let (shared, lives, starts) = (ledger.clone(), life.clone(), begun.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
-                let (ledger, life) = (shared.clone(), lives.clone());
-                std::thread::spawn(move || serve(stream, &ledger, &life));
+                let (ledger, life, begun) = (shared.clone(), lives.clone(), starts.clone());
+                std::thread::spawn(move || serve(stream, &ledger, &life, &begun));
             }
         });
-        Self { id: id.into(), address, life }
+        Self { id: id.into(), address, life, begun }
     }
 
     /// Every connection ends, whatever is on it.
@@ -215,12 +219,18 @@
     }
 }
 
-/// The figures of the operators' door.
-fn stats(daemon: &Daemon) -> HashMap<String, u64> {
+/// Calls the operators' door.
+fn call(daemon: &Daemon, what: &str) -> String {
     let mut stream = TcpStream::connect(daemon.console.expect("open")).expect("connected");
-    stream.write_all(b"GET /stats HTTP/1.1\r\n\r\n").expect("sent");
+    stream.write_all(format!("{what} HTTP/1.1\r\n\r\n").as_bytes()).expect("sent");
     let mut text = String::new();
     stream.read_to_string(&mut text).expect("read");
+    text
+}
+
+/// The figures of the operators' door.
+fn stats(daemon: &Daemon) -> HashMap<String, u64> {
+    let text = call(daemon, "GET /stats");
     let figures = text.lines().filter_map(|line| line.strip_prefix("app.")?.split_once('='));
     figures.map(|(name, count)| (name.into(), count.parse().expect("a count"))).collect()
 }
@@ -442,14 +452,43 @@
     assert_eq!(client.answer().0, 200);
 }
 
+/// Nothing is kept: every body is passed on.
+const NOTHING: &str = "memory_mb = 5\nlargest_mb = 64\nabove_kb = 64\n[class.load]\nmemory_share = 0\n";
+
+#[test]
+fn an_engine_that_drains_in_mid_body_gets_the_rest_of_it_and_nothing_new() {
+    let (engines, ledger) = engines(2);
+    let daemon = start(&engines, NOTHING, None);
+    let body = statement(1, 2 * MB);
+    let mut client = Client::new(&daemon);
+    client.head("load", 1, true, body.len()).expect("sent");
+    client.send(&body[..MB]).expect("sent");
+    while engines.iter().all(|engine| engine.begun.load(Ordering::SeqCst) == 0) {
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    let its = usize::from(engines[0].begun.load(Ordering::SeqCst) == 0);
+    assert!(call(&daemon, &format!("POST /worker-groups/{}/maint", engines[its].id)).contains(" 200 "));
+    // Well past the time from which nothing may begin there.
+    std::thread::sleep(Duration::from_millis(1300));
+    for id in 2..8 {
+        let mut other = Client::new(&daemon);
+        other.head("load", id, true, MB).expect("sent");
+        other.send(&body[..MB]).expect("sent");
+        assert_eq!(other.answer().0, 200);
+    }
+    client.send(&body[MB..]).expect("sent");
+    assert_eq!(client.answer().0, 200);
+    assert_eq!(engines[its].begun.load(Ordering::SeqCst), 1);
+    assert_eq!(ledger.taken.lock().expect("held").len(), 7);
+}
+
 #[test]
 fn a_slow_engine_stops_the_reading_from_its_client() {
     // A listener that takes the connection and reads nothing.
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("bound");
     let config = config(&[("e0", address)], names().local_addr().expect("bound"));
-    let file = "memory_mb = 5\nlargest_mb = 64\nabove_kb = 64\n[class.load]\nmemory_share = 0\n";
-    let daemon = Daemon::start(&config, &[("bodies.toml", file.into())], None);
+    let daemon = Daemon::start(&config, &[("bodies.toml", NOTHING.into())], None);
     let mut client = Client::new(&daemon);
     client.head("load", 1, true, 64 * MB).expect("sent");
     client.0.get_ref().set_write_timeout(Some(Duration::from_millis(500))).expect("set");
