--- a/crates/bodies/src/store.rs
+++ b/crates/bodies/src/store.rs
@@ -2,13 +2,11 @@
 //! what a crash between the two left behind is removed at the next start, under a lock.
 
 use rustix::fs::{fallocate, flock, FallocateFlags, FlockOperation, Mode, OFlags};
-use std::collections::HashMap;
 use std::fs::{File, OpenOptions};
 use std::io;
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
 
 /// Bytes of one slot: what is written, read and summed at once.
 pub const CHUNK: usize = 64 << 10;
@@ -23,7 +21,8 @@
     fn end(&self, body: u64, slots: &[u32]);
 }
 
-fn offset(slot: u32) -> u64 {
+/// Where a slot begins (bytes).
+pub fn offset(slot: u32) -> u64 {
     u64::from(slot) * CHUNK as u64
 }
 
@@ -111,40 +110,3 @@
         }
     }
 }
-
-/// A file a body: the option that was measured and not taken (`docs/bodies-design.md`).
-pub struct Files {
-    folder: Folder,
-    files: Mutex<HashMap<u64, Arc<File>>>,
-}
-
-impl Files {
-    /// In that folder.
-    pub fn open(folder: Folder) -> Self {
-        Self { folder, files: Mutex::default() }
-    }
-
-    fn file(&self, body: u64) -> io::Result<Arc<File>> {
-        let mut files = self.files.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(file) = files.get(&body) {
-            return Ok(file.clone());
-        }
-        let file = Arc::new(self.folder.file()?);
-        files.insert(body, file.clone());
-        Ok(file)
-    }
-}
-
-impl Store for Files {
-    fn write(&self, body: u64, slot: u32, bytes: &[u8]) -> io::Result<()> {
-        self.file(body)?.write_all_at(bytes, offset(slot))
-    }
-
-    fn read(&self, body: u64, slot: u32, into: &mut [u8]) -> io::Result<()> {
-        self.file(body)?.read_exact_at(into, offset(slot))
-    }
-
-    fn end(&self, body: u64, _: &[u32]) {
-        self.files.lock().unwrap_or_else(PoisonError::into_inner).remove(&body);
-    }
-}
