Let a chunk fill while the one before it is written: files take twice the bytes

A body on its way to a file was allowed its window less one chunk, so with a window of two it stood still during every write (crates/bodies/src/spool.rs, room). A test holds the disk and counts both chunks.

--- a/crates/bodies/src/spool.rs
+++ b/crates/bodies/src/spool.rs
@@ -19,8 +19,6 @@
 /// Bytes that are handed on without being copied.
 pub type Bytes = Arc<Vec<u8>>;
 
-/// Chunks of a body that may be on their way to the disk before its sender has to wait; one more is filled.
-const BEHIND: usize = TO_FILE - 1;
 /// Chunks that are read ahead of a reader, its own among them.
 const AHEAD: usize = REPLAY / 2;
 
@@ -398,7 +396,7 @@
         let room = match held.tier {
             Tier::Memory => rest,
             Tier::File if content.unwritable => 0,
-            Tier::File => (BEHIND * CHUNK).saturating_sub(content.writing * CHUNK + content.last.len()),
+            Tier::File => (TO_FILE * CHUNK).saturating_sub(content.writing * CHUNK + content.last.len()),
             // What its reader has had can make room.
             Tier::Passed => {
                 let unread = content.unread(&self.readings).1 + content.last.len();
--- a/crates/bodies/tests/spool.rs
+++ b/crates/bodies/tests/spool.rs
@@ -318,6 +318,11 @@
     let text = pattern(7, 2 * MB as usize);
     let (body, _) = world.admit(0, text.len()).expect("room");
     assert_eq!(world.send(&body, &text), None, "its sender waits");
+    assert_eq!(
+        world.spool.resident(),
+        (TO_FILE * CHUNK) as u64,
+        "one chunk waits for the disk beside the next"
+    );
     assert!(world.spool.next().is_some_and(|at| at == PACE.hangs));
     world.now = PACE.hangs;
     world.spool.alarm(world.now);
