--- a/crates/bodies/src/plan.rs
+++ b/crates/bodies/src/plan.rs
@@ -134,6 +134,8 @@
     pub fallen: bool,
     /// Chunks of the window that it holds.
     pub window: usize,
+    /// Its length is not known yet.
+    pub open: bool,
 }
 
 /// The decisions on bodies.
@@ -178,6 +180,11 @@
         &self.figures
     }
 
+    /// The largest body that a class may have (bytes).
+    pub fn largest(&self, class: usize) -> u64 {
+        self.rules.classes[class].largest
+    }
+
     /// A body that is held.
     pub fn get(&self, id: BodyId) -> Option<&Held> {
         self.held.get(&id)
@@ -218,15 +225,20 @@
             self.figures[class].refused += 1;
             return Err(Refusal::NoRoom);
         };
+        Ok((self.hold(class, length, deadline, tier), tier))
+    }
+
+    fn hold(&mut self, class: usize, length: u64, deadline: f64, tier: Tier) -> BodyId {
         self.last += 1;
         let window = [0, TO_FILE, PASSED][place(tier)];
         let (whole, readers, moving, fallen) = (false, 0, false, false);
-        let held = Held { class, length, deadline, tier, whole, readers, moving, fallen, window };
+        let held =
+            Held { class, length, deadline, tier, whole, readers, moving, fallen, window, open: false };
         self.arrivals += window;
         self.held.insert(self.last, held);
         self.count(class, tier, length, true);
         self.figures[class].taken[place(tier)] += 1;
-        Ok((self.last, tier))
+        self.last
     }
 
     /// Whether an arrival may have a window of so many chunks.
@@ -259,6 +271,71 @@
         }
     }
 
+    /// Takes in a body whose length is not known, to be kept: in a file if there are any, else in memory. It is
+    /// never passed on. [`Plan::extend`] sets more aside as it comes, [`Plan::end`] gives back what was too much.
+    ///
+    /// # Errors
+    /// Where there is no room for `length` bytes, with which it begins.
+    pub fn admit_open(
+        &mut self,
+        now: f64,
+        class: usize,
+        length: u64,
+        deadline: f64,
+    ) -> Result<(BodyId, Tier), Refusal> {
+        let length = length.min(self.rules.classes[class].largest);
+        let filed = self.has(TO_FILE) && now >= self.files_from && self.fits(Tier::File, class, length);
+        let tier = match filed {
+            true => Tier::File,
+            false if self.fits(Tier::Memory, class, length) => Tier::Memory,
+            false => {
+                self.figures[class].refused += 1;
+                return Err(Refusal::NoRoom);
+            }
+        };
+        let id = self.hold(class, length, deadline, tier);
+        if let Some(held) = self.held.get_mut(&id) {
+            held.open = true;
+        }
+        Ok((id, tier))
+    }
+
+    /// Sets twice as much aside for a body whose length is not known, up to the largest that its class may have:
+    /// the bytes in all.
+    ///
+    /// # Errors
+    /// Why not.
+    pub fn extend(&mut self, id: BodyId) -> Result<u64, Refusal> {
+        let Some(held) = self.held.get(&id) else { return Err(Refusal::NoRoom) };
+        let (class, tier, had) = (held.class, held.tier, held.length);
+        let length = (2 * had).min(self.rules.classes[class].largest);
+        if length == had {
+            self.figures[class].too_large += 1;
+            return Err(Refusal::TooLarge);
+        }
+        if !self.fits(tier, class, length - had) {
+            self.figures[class].refused += 1;
+            return Err(Refusal::NoRoom);
+        }
+        self.resize(id, length);
+        Ok(length)
+    }
+
+    /// The body has ended with that length, which is no more than was set aside.
+    pub fn end(&mut self, id: BodyId, length: u64) {
+        self.resize(id, length);
+        if let Some(held) = self.held.get_mut(&id) {
+            held.open = false;
+        }
+    }
+
+    fn resize(&mut self, id: BodyId, length: u64) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let (class, tier, had) = (held.class, held.tier, std::mem::replace(&mut held.length, length));
+        self.count(class, tier, had, false);
+        self.count(class, tier, length, true);
+    }
+
     /// All of it is here and, if it belongs in a file, there. Its window is free again unless it is passed on.
     pub fn whole(&mut self, id: BodyId) {
         let Some(held) = self.held.get_mut(&id) else { return };
@@ -323,7 +400,7 @@
             return false;
         };
         let (class, length) = (held.class, held.length);
-        if !self.rules.classes[class].pass {
+        if held.open || !self.rules.classes[class].pass {
             return false;
         }
         (held.tier, held.fallen) = (Tier::Passed, true);
--- a/crates/bodies/src/spool.rs
+++ b/crates/bodies/src/spool.rs
@@ -19,6 +19,8 @@
 /// Bytes that are handed on without being copied.
 pub type Bytes = Arc<Vec<u8>>;
 
+/// What is set aside at first for a body whose length is not known (bytes); doubled as it fills.
+const OPEN: u64 = 256 << 10;
 /// Chunks that are read ahead of a reader, its own among them.
 const AHEAD: usize = REPLAY / 2;
 
@@ -150,8 +152,12 @@
 }
 
 /// A body's content.
+#[derive(Default)]
 struct Content {
+    /// Its length; of one that is open, what is set aside for it.
     length: u64,
+    /// Its length is not known yet.
+    open: bool,
     came: u64,
     chunks: Vec<Chunk>,
     /// What has come of the chunk that is not full yet.
@@ -299,7 +305,7 @@
 
 impl Content {
     fn is_whole(&self) -> bool {
-        self.came == self.length
+        !self.open && self.came == self.length
     }
 
     /// The first chunk that a reader has not had, and the bytes in memory from there on.
@@ -370,27 +376,46 @@
     ) -> Result<(Body, Tier), Refusal> {
         self.collect(now);
         let (id, tier) = self.plan.admit(now, class, length, deadline)?;
-        let content = Content {
-            length,
-            came: 0,
-            chunks: Vec::new(),
-            last: Vec::new(),
-            writing: 0,
-            unwritable: false,
-            waits: false,
-            spent: false,
-            lost: false,
-            readers: Vec::new(),
-            ever_read: false,
-            loaded: BTreeMap::new(),
-            asked: Vec::new(),
-        };
-        self.contents.insert(id, content);
-        Ok((Body(Rc::new(Hold { id, length, gone: self.gone.clone() })), tier))
+        Ok((self.hold(id, length, false), tier))
+    }
+
+    /// The same for a body whose length is not known: [`Spool::end`] tells it. It is kept, or not taken.
+    ///
+    /// # Errors
+    /// Where there is no room.
+    pub fn admit_open(&mut self, now: f64, class: usize, deadline: f64) -> Result<Body, Refusal> {
+        self.collect(now);
+        let (id, _) = self.plan.admit_open(now, class, OPEN, deadline)?;
+        let length = self.plan.get(id).map_or(0, |held| held.length);
+        Ok(self.hold(id, length, true))
+    }
+
+    fn hold(&mut self, id: BodyId, length: u64, open: bool) -> Body {
+        self.contents.insert(id, Content { length, open, ..Content::default() });
+        Body(Rc::new(Hold { id, length, gone: self.gone.clone() }))
+    }
+
+    /// Nothing more comes of a body whose length was not known.
+    pub fn end(&mut self, now: f64, id: BodyId) {
+        let Some(content) = self.contents.get_mut(&id).filter(|c| c.open) else { return };
+        (content.open, content.length) = (false, content.came);
+        self.plan.end(id, content.came);
+        self.seal(now, id);
+        self.settle(now, id);
     }
 
     /// Bytes that the body takes now. At 0 its sender has to wait for [`Wake::Room`].
     pub fn room(&mut self, id: BodyId) -> usize {
+        let Some(content) = self.contents.get_mut(&id).filter(|c| !c.lost) else { return 0 };
+        if content.open && content.came == content.length {
+            // More is set aside, as long as there is any.
+            let Ok(length) = self.plan.extend(id) else {
+                content.lost = true;
+                self.wakes.push_back(Wake::Lost(id));
+                return 0;
+            };
+            content.length = length;
+        }
         let Some((content, held)) = self.contents.get_mut(&id).zip(self.plan.get(id)) else { return 0 };
         let rest = (content.length - content.came) as usize;
         let room = match held.tier {
@@ -408,6 +433,16 @@
         room
     }
 
+    /// Whether all of a body is here and kept.
+    pub fn is_kept(&self, id: BodyId) -> bool {
+        self.plan.get(id).is_some_and(|held| held.whole && held.tier != Tier::Passed)
+    }
+
+    /// The largest body that a class may have (bytes).
+    pub fn largest(&self, class: usize) -> u64 {
+        self.plan.largest(class)
+    }
+
     /// Bytes of a body that have come.
     pub fn came(&self, id: BodyId) -> u64 {
         self.contents.get(&id).map_or(0, |content| content.came)
@@ -434,17 +469,23 @@
         if passed {
             self.wake_readers(id);
         }
-        if self.contents.get(&id).is_some_and(Content::is_whole) {
-            let file = self.plan.get(id).is_some_and(|held| held.tier == Tier::File);
-            // What goes to a file is kept once it is there; until then its window is held.
-            if !file {
-                self.plan.whole(id);
-                if !passed {
-                    self.wakes.push_back(Wake::Kept(id));
-                }
-                self.demote(now);
-            }
+        self.settle(now, id);
+    }
+
+    /// A body that is here whole is kept: at once in memory; in a file, where its window is held until then, once
+    /// all of it is there.
+    fn settle(&mut self, now: f64, id: BodyId) {
+        let Some((content, held)) = self.contents.get(&id).zip(self.plan.get(id)) else { return };
+        let (tier, lost) = (held.tier, content.lost || content.unwritable && held.tier == Tier::File);
+        if held.whole || lost || !content.is_whole() || tier == Tier::File && content.writing > 0 {
+            return;
+        }
+        self.plan.whole(id);
+        if tier != Tier::Passed {
+            self.wakes.push_back(Wake::Kept(id));
         }
+        self.next_in_line();
+        self.demote(now);
     }
 
     /// The chunk that was coming in is a chunk now.
@@ -688,10 +729,8 @@
         }
         if unwritable {
             self.fall(id, settled);
-        } else if whole && settled {
-            self.plan.whole(id);
-            self.wakes.push_back(Wake::Kept(id));
-            self.next_in_line();
+        } else if whole {
+            self.settle(now, id);
         } else if self.contents.get(&id).is_some_and(|c| c.waits) && self.room(id) > 0 {
             self.wakes.push_back(Wake::Room(id));
         }
--- a/crates/bodies/tests/plan.rs
+++ b/crates/bodies/tests/plan.rs
@@ -23,6 +23,9 @@
 #[derive(Clone, Debug)]
 enum Step {
     Admit { class: usize, length: u64 },
+    Open(usize),
+    Extend(usize),
+    End(usize, u64),
     Whole(usize),
     Demote,
     Moved(usize, bool),
@@ -37,6 +40,9 @@
     let length = prop_oneof![1..64 * 1024u64, 64 * 1024..2 * MB, MB..10 * MB];
     prop_oneof![
         4 => (0..3usize, length).prop_map(|(class, length)| Step::Admit { class, length }),
+        1 => (0..3usize).prop_map(Step::Open),
+        2 => any::<usize>().prop_map(Step::Extend),
+        1 => (any::<usize>(), any::<u64>()).prop_map(|(at, length)| Step::End(at, length)),
         4 => any::<usize>().prop_map(Step::Whole),
         2 => Just(Step::Demote),
         2 => (any::<usize>(), any::<bool>()).prop_map(|(at, done)| Step::Moved(at, done)),
@@ -90,7 +96,28 @@
                     Err(Refusal::TooLarge) => prop_assert!(length > rules.classes[class].largest),
                     Err(Refusal::NoRoom) => prop_assert!(length <= rules.classes[class].largest),
                 },
-                Step::Whole(at) => any(&held, at).into_iter().for_each(|id| plan.whole(id)),
+                Step::Open(class) => held.extend(plan.admit_open(now, class, 256 << 10, now + 5.0).map(|b| b.0)),
+                Step::Extend(at) => {
+                    if let Some(id) = any(&held, at).filter(|id| plan.get(*id).is_some_and(|b| b.open)) {
+                        let (class, had) = plan.get(id).map(|b| (b.class, b.length)).expect("held");
+                        match plan.extend(id) {
+                            Ok(length) => prop_assert!(length > had && length <= rules.classes[class].largest),
+                            Err(Refusal::TooLarge) => prop_assert_eq!(had, rules.classes[class].largest),
+                            Err(Refusal::NoRoom) => {}
+                        }
+                    }
+                }
+                Step::End(at, length) => {
+                    if let Some(id) = any(&held, at).filter(|id| plan.get(*id).is_some_and(|b| b.open)) {
+                        let had = plan.get(id).map_or(0, |b| b.length);
+                        plan.end(id, length % (had + 1));
+                    }
+                }
+                Step::Whole(at) => {
+                    // A body whose length is not known is not whole.
+                    let closed = any(&held, at).filter(|id| plan.get(*id).is_some_and(|b| !b.open));
+                    closed.into_iter().for_each(|id| plan.whole(id));
+                }
                 Step::Demote => {
                     let before: Vec<_> = held.iter().filter_map(|id| plan.get(*id).cloned()).collect();
                     if let Some(id) = plan.demote(now) {
@@ -116,7 +143,8 @@
                     if let Some(id) = any(&held, at) {
                         let before = plan.get(id).expect("held").clone();
                         let fell = plan.fall(id);
-                        let may = before.tier == Tier::File && !before.whole && rules.classes[before.class].pass;
+                        let coming = before.tier == Tier::File && !before.whole && !before.open;
+                        let may = coming && rules.classes[before.class].pass;
                         prop_assert_eq!(fell, may, "one that is whole stays");
                     }
                 }
--- a/crates/bodies/tests/spool.rs
+++ b/crates/bodies/tests/spool.rs
@@ -426,9 +426,44 @@
     assert_eq!(names().len(), 2);
 }
 
+#[test]
+fn a_body_of_unknown_length_takes_what_it_needs_and_gives_back_the_rest() {
+    let mut world = world(MB);
+    let text = pattern(40, 5 * MB as usize + 3);
+    let body = world.spool.admit_open(0.0, 0, 9.0).expect("room");
+    let mut rest = &text[..];
+    while !rest.is_empty() {
+        let room = world.spool.room(body.id()).min(rest.len());
+        world.spool.push(0.0, body.id(), &rest[..room]);
+        rest = &rest[room..];
+        world.turn();
+    }
+    assert!(world.spool.reader(0.0, &body).is_none(), "it may go on");
+    assert_eq!(world.spool.plan().used(), [0, 8 * MB]);
+    world.spool.end(0.0, body.id());
+    assert_eq!(world.spool.plan().used(), [0, text.len() as u64]);
+    while !std::iter::from_fn(|| world.spool.take()).any(|wake| wake == Wake::Kept(body.id())) {
+        world.turn();
+    }
+    assert!(world.read(&body) == Ok(text));
+    drop(body);
+    // One that outgrows its class is lost, before anything ran.
+    let (body, mut wakes) = (world.spool.admit_open(0.0, 0, 9.0).expect("room"), Vec::new());
+    while wakes.is_empty() {
+        let room = world.spool.room(body.id());
+        world.spool.push(0.0, body.id(), &vec![0; room]);
+        world.turn();
+        wakes.extend(std::iter::from_fn(|| world.spool.take()).filter(|wake| *wake == Wake::Lost(body.id())));
+    }
+    assert_eq!(world.spool.figures()[0].refused + world.spool.figures()[0].too_large, 1);
+    drop(body);
+    world.spool.alarm(0.0);
+    world.settle();
+}
+
 #[derive(Clone, Debug)]
 enum Step {
-    Admit(usize),
+    Admit(usize, bool),
     Push(usize, usize),
     Read(usize),
     Pull(usize, usize),
@@ -441,7 +476,7 @@
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     let step = prop_oneof![
-        3 => (1..900_000usize).prop_map(Step::Admit),
+        3 => (1..900_000usize, any::<bool>()).prop_map(|(length, open)| Step::Admit(length, open)),
         8 => (any::<usize>(), 1..300_000usize).prop_map(|(at, count)| Step::Push(at, count)),
         3 => any::<usize>().prop_map(Step::Read),
         8 => (any::<usize>(), 1..8usize).prop_map(|(at, count)| Step::Pull(at, count)),
@@ -466,10 +501,12 @@
         let mut readers: Vec<(Reader, Vec<u8>, usize)> = Vec::new();
         for (seed, step) in steps.into_iter().enumerate() {
             match step {
-                Step::Admit(length) => {
-                    if let Ok((body, _)) = world.admit(0, length) {
-                        bodies.push((body, pattern(seed as u64, length), 0));
-                    }
+                Step::Admit(length, open) => {
+                    let taken = match open {
+                        true => world.spool.admit_open(world.now, 0, world.now + 10.0).ok(),
+                        false => world.admit(0, length).ok().map(|taken| taken.0),
+                    };
+                    bodies.extend(taken.map(|body| (body, pattern(seed as u64, length), 0)));
                 }
                 Step::Push(at, count) if !bodies.is_empty() => {
                     let at = at % bodies.len();
@@ -477,6 +514,9 @@
                     let count = count.min(world.spool.room(body.id())).min(text.len() - *sent);
                     world.spool.push(world.now, body.id(), &text[*sent..*sent + count]);
                     *sent += count;
+                    if *sent == text.len() {
+                        world.spool.end(world.now, body.id()); // nothing where the length was known
+                    }
                 }
                 Step::Read(at) if !bodies.is_empty() => {
                     let at = at % bodies.len();
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -19,14 +19,31 @@
 pub struct Work {
     pub class: Arc<str>,
     pub statement: Arc<[u8]>,
-    /// The statement, where the spool has it.
-    pub body: Option<Body>,
     /// Arguments of a prepared statement.
     pub arguments: Option<Arc<[u8]>>,
+    /// What the spool has: the statement, or what follows the arguments above where there are any.
+    pub body: Option<Body>,
+    /// Parameters whose values came ahead of the execution, by position.
+    pub long: Vec<(u16, Value)>,
     /// The client's idempotency key.
     pub key: Option<Arc<str>>,
 }
 
+/// A value that came by itself.
+#[derive(Clone, Debug)]
+pub enum Value {
+    Here(Arc<[u8]>),
+    Spool(Body),
+}
+
+impl Work {
+    /// Whether that body is a part of it.
+    fn has(&self, body: BodyId) -> bool {
+        let long = self.long.iter().any(|(_, value)| matches!(value, Value::Spool(b) if b.id() == body));
+        long || self.body.as_ref().is_some_and(|b| b.id() == body)
+    }
+}
+
 /// A request that a front has taken.
 #[derive(Clone, Debug)]
 pub struct Ask {
@@ -286,8 +303,7 @@
 
     /// Bytes of a body are gone: whatever request has it gets no further attempt.
     pub fn spent(&mut self, now: Time, body: BodyId, doors: &mut [Door]) {
-        let has = |request: &Request| request.work.body.as_ref().is_some_and(|b| b.id() == body);
-        let id = self.requests.iter().find(|(_, request)| has(request)).map(|(id, _)| id.clone());
+        let id = self.requests.iter().find(|(_, r)| r.work.has(body)).map(|(id, _)| id.clone());
         if let Some(id) = id {
             self.feed(now, Event::Spent { id }, doors);
         }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -135,9 +135,11 @@
             Some(mysql) => {
                 let (listen, mysql) = (mysql.listen, Rc::new(mysql));
                 let (settings, poller) = (&config.settings, poller.clone());
-                let link = MysqlLink::new(MYSQL_LINK, mysql.clone(), poller.clone(), limits.clone());
-                let front = MysqlFront::open(MYSQL_FRONT, 1, mysql, settings, poller, limits.clone())
-                    .map_err(|e| format!("listen {listen}: {e}"))?;
+                let link =
+                    MysqlLink::new(MYSQL_LINK, mysql.clone(), spool.clone(), poller.clone(), limits.clone());
+                let front =
+                    MysqlFront::open(MYSQL_FRONT, 1, mysql, settings, spool.clone(), poller, limits.clone())
+                        .map_err(|e| format!("listen {listen}: {e}"))?;
                 let address = front.address().map_err(|e| format!("listen {listen}: {e}"))?;
                 println!("{} speaks MySQL on {address}", config.name);
                 Some((front, link))
@@ -317,13 +319,21 @@
             let wake = self.spool.as_ref().and_then(|spool| spool.borrow_mut().take());
             if let Some(wake) = wake {
                 match wake {
-                    Wake::Data(reader) => self.resp.wake(now, reader),
+                    Wake::Data(reader) => {
+                        self.resp.wake(now, reader);
+                        if let Some((_, link)) = &mut self.mysql {
+                            link.wake(now, reader);
+                        }
+                    }
                     Wake::Spent(body) => {
                         let (core, mut doors) = self.doors();
                         core.spent(now, body, &mut doors);
                     }
                     Wake::Room(body) | Wake::Kept(body) | Wake::Passed(body) | Wake::Lost(body) => {
-                        self.platform.wake(now, body, &wake)
+                        self.platform.wake(now, body, &wake);
+                        if let Some((front, _)) = &mut self.mysql {
+                            front.wake(now, body, &wake);
+                        }
                     }
                 }
                 continue;
@@ -471,6 +481,9 @@
             // The front goes on sending for a while: what comes is still served.
             self.farewell = Some(now + self.limits.farewell);
             self.platform.last_upload(now + self.limits.farewell);
+            if let Some((front, _)) = &mut self.mysql {
+                front.last_upload(now + self.limits.farewell);
+            }
             if self.in_pairs {
                 // The other process has the listening socket as well, and takes what comes.
                 println!("{now:.3} leaving: connections go to the process beside");
--- a/src/front/mysql/mod.rs
+++ b/src/front/mysql/mod.rs
@@ -1,10 +1,12 @@
 //! The MySQL front: sessions in, results and errors out. Each execution is a request of its own; nothing of
 //! a session lives on an engine.
 
+mod large;
 mod setup;
 
 use super::hall::{Desk, Guest, Hall};
 use super::sql;
+use crate::bodies;
 use crate::core::{Answer, Ask, Front, Work};
 use crate::limits::Limits;
 use crate::mysql::auth;
@@ -12,6 +14,9 @@
 use crate::mysql::packet::{self, capability, column, command, eof, error, ok, Malformed, Reader, Res};
 use crate::net::{Channel, Connection, Flow, Poller, Time, Token};
 use dahliaspoke::interface::{RequestId, Settings};
+use dahliaspoke_bodies::plan::BodyId;
+use dahliaspoke_bodies::spool::Wake;
+use large::{Large, Parameter, Pending};
 use setup::Plan;
 use std::collections::HashMap;
 use std::io;
@@ -29,6 +34,10 @@
     /// Name and give-up time (seconds) by class.
     classes: Vec<(Arc<str>, f64)>,
     requests: u64,
+    /// Keeps what is large, where the deployment has that.
+    spool: Option<bodies::Shared>,
+    /// The session that each body comes in by.
+    uploads: HashMap<BodyId, Token>,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -73,6 +82,14 @@
     statements: HashMap<u32, Statement>,
     last_statement: u32,
     open: Option<RequestId>,
+    /// The payload that does not come at once.
+    large: Option<Large>,
+    /// The request whose bodies are not all kept yet.
+    pending: Option<Pending>,
+    /// Parameters that came ahead of their execution, by statement and position.
+    parameters: HashMap<(u32, u16), Parameter>,
+    /// The number of the next packet to the client.
+    answer_from: u8,
     deadline: Time,
     /// When it came.
     since: Time,
@@ -97,12 +114,25 @@
         door: usize,
         config: Rc<Mysql>,
         settings: &Settings,
+        spool: Option<bodies::Shared>,
         poller: Rc<Poller>,
         limits: Rc<Limits>,
     ) -> io::Result<Self> {
         let (socket, desk) = (TcpListener::bind(config.listen)?, Desk::new(door, limits));
         let classes = settings.classes.iter().map(|c| (c.name.as_str().into(), c.give_up)).collect();
-        Self::new(part, socket, Shared { desk, config, classes, requests: 0 }, poller)
+        let uploads = HashMap::new();
+        Self::new(part, socket, Shared { desk, config, classes, requests: 0, spool, uploads }, poller)
+    }
+
+    /// Something has become of a body.
+    pub fn wake(&mut self, now: Time, body: BodyId, wake: &Wake) {
+        let Some(token) = self.shared.uploads.get(&body).copied() else { return };
+        Hall::reply(self, now, token, |session, shared| session.woken(now, body, wake, shared));
+    }
+
+    /// Large bodies are not begun after this.
+    pub fn last_upload(&mut self, at: Time) {
+        self.shared.desk.last_upload = at;
     }
 }
 
@@ -122,6 +152,10 @@
             statements: HashMap::new(),
             last_statement: 0,
             open: None,
+            large: None,
+            pending: None,
+            parameters: HashMap::new(),
+            answer_from: 1,
             deadline: 0.0,
             since: now,
             until: now + shared.desk.limits.call,
@@ -129,7 +163,7 @@
     }
 
     fn until(&self) -> Option<Time> {
-        self.open.is_none().then_some(self.until)
+        (self.open.is_none() && !self.waits()).then_some(self.until)
     }
 
     fn overdue(&mut self, _: Time, _: &mut Shared) -> Flow {
@@ -178,7 +212,7 @@
             session.open = None;
             session.until = now + shared.desk.limits.session_idle;
             let late = now + shared.desk.limits.late >= session.deadline;
-            session.push(1, &encode(answer, late));
+            session.push(session.answer_from, &encode(answer, late));
             session.next_packet(now, shared)
         });
     }
@@ -193,15 +227,25 @@
             "HY000",
             "Query execution was interrupted, maximum statement execution time exceeded".into(),
         ),
-        Answer::Refused(wait) => {
-            let when = wait.map_or(String::new(), |w| format!("; retry after {} ms", (w * 1000.0).ceil()));
-            Refusal(3168, "HY000", format!("Server isn't available{when}"))
-        }
+        Answer::Refused(wait) => refused(wait),
         Answer::Failed => Refusal(1317, "70100", "Query execution was interrupted".into()),
     };
     vec![refusal.encode()]
 }
 
+fn refused(wait: Option<f64>) -> Refusal {
+    let when = wait.map_or(String::new(), |w| format!("; retry after {} ms", (w * 1000.0).ceil()));
+    Refusal(3168, "HY000", format!("Server isn't available{when}"))
+}
+
+fn malformed() -> Refusal {
+    Refusal(1835, "HY000", "Malformed communication packet".into())
+}
+
+fn unbound() -> Refusal {
+    Refusal(1210, "HY000", "Incorrect arguments to mysqld_stmt_execute".into())
+}
+
 impl Connection for Session {
     type Shared = Shared;
 
@@ -210,7 +254,10 @@
     }
 
     fn readable(&mut self, now: Time, shared: &mut Shared) -> Flow {
-        if self.open.is_some() {
+        if self.large.is_some() {
+            return self.take_large(now, shared);
+        }
+        if self.open.is_some() || self.pending.is_some() {
             // Commands sent ahead wait here, but not without bound.
             return if self.channel.input.len() > 2 * shared.desk.limits.body {
                 Flow::Close
@@ -225,7 +272,12 @@
         Flow::Open
     }
 
+    fn is_paused(&self) -> bool {
+        self.large.is_some() && self.waits()
+    }
+
     fn closed(&mut self, _: Time, shared: &mut Shared) {
+        self.drop_large(shared);
         if let Some(id) = self.open.take() {
             shared.desk.left(id);
         }
@@ -246,10 +298,16 @@
 
     /// Reads packets until one needs the core, or no whole one is left.
     fn next_packet(&mut self, now: Time, shared: &mut Shared) -> Flow {
-        while self.open.is_none() {
+        while self.open.is_none() && self.pending.is_none() && self.large.is_none() {
             if self.channel.queued() > shared.desk.limits.unread {
                 return Flow::Close;
             }
+            self.answer_from = 1;
+            if self.stage == Stage::Ready {
+                if let Some((length, sequence)) = self.large_packet(shared) {
+                    return self.begin_large(now, length, sequence, shared);
+                }
+            }
             let (sequence, payload) = match packet::read(&self.channel.input, shared.desk.limits.body) {
                 Ok(None) => {
                     // What has begun must end: an unfinished packet is no idle session.
@@ -282,10 +340,7 @@
                 Ok(None) => {}
                 Ok(Some(refusal)) if self.stage == Stage::Ready => self.push(next, &[refusal.encode()]),
                 Ok(Some(refusal)) => return self.end(now, next, refusal, shared),
-                Err(Malformed) => {
-                    let refusal = Refusal(1835, "HY000", "Malformed communication packet".into());
-                    return self.end(now, next, refusal, shared);
-                }
+                Err(Malformed) => return self.end(now, next, malformed(), shared),
             }
         }
         Flow::Open
@@ -364,10 +419,13 @@
             command::PING => self.push(1, &[ok()]),
             command::QUERY => {
                 let text = std::str::from_utf8(reader.0).map_err(|_| Malformed)?;
-                match setup::plan(text) {
+                match setup::plan(text, most(shared)) {
                     Plan::Here(payloads) => self.push(1, &payloads),
                     Plan::Forward => match statement(text, shared) {
-                        Ok(statement) => self.ask(now, &statement, None, shared)?,
+                        Ok(statement) => {
+                            let ask = self.make(&statement, None, None, shared);
+                            self.hand_on(now, ask, statement.deadline, shared);
+                        }
                         Err(refusal) => return Ok(Some(refusal)),
                     },
                 }
@@ -382,10 +440,21 @@
                 if !self.statements.contains_key(&id) {
                     return Ok(Some(unknown(id, "mysqld_stmt_reset")));
                 }
+                self.forget_parameters(id, shared);
                 self.push(1, &[ok()]);
             }
             command::CLOSE => {
-                self.statements.remove(&(reader.number(4)? as u32));
+                let id = reader.number(4)? as u32;
+                self.forget_parameters(id, shared);
+                self.statements.remove(&id);
+            }
+            // There is no answer to it: what is wrong with it is told at the execution.
+            command::LONG_DATA => {
+                let place = (reader.number(4)? as u32, reader.number(2)? as u16);
+                let taken = self.put(now, place, reader.0, shared);
+                if taken < reader.0.len() {
+                    self.hold_back(place, &reader.0[taken..], shared);
+                }
             }
             _ => return Ok(Some(Refusal(1047, "08S01", "Unknown command".into()))),
         }
@@ -394,7 +463,7 @@
 
     /// Keeps a statement; engines prepare it when it first runs on them.
     fn prepare(&mut self, text: &str, shared: &Shared) -> Res<Option<Refusal>> {
-        if let Plan::Here(payloads) = setup::plan(text) {
+        if let Plan::Here(payloads) = setup::plan(text, most(shared)) {
             let refused = payloads.first().is_some_and(|p| p.first() == Some(&packet::ERR));
             let message = "This command is not supported in the prepared statement protocol yet".into();
             if refused {
@@ -444,39 +513,45 @@
         };
         // Cursors are not opened: all rows come at once, which the protocol allows.
         reader.take(1 + 4)?;
-        let Some(arguments) = arguments(&mut reader, statement)? else {
-            return Ok(Some(Refusal(1210, "HY000", "Incorrect arguments to mysqld_stmt_execute".into())));
-        };
+        let ahead = |at: usize| self.parameters.contains_key(&(id, at as u16));
+        let Some(arguments) = arguments(&mut reader, statement, ahead)? else { return Ok(Some(unbound())) };
         let statement = statement.clone();
-        self.ask(now, &statement, Some(arguments), shared)?;
+        let key = match statement.key {
+            Some(Key::Parameter(at)) if !ahead(at) => key_of(&arguments, &statement, at, ahead)?,
+            _ => None,
+        };
+        let long = match self.take_parameters(id) {
+            Ok(long) => long,
+            Err(refusal) => return Ok(Some(refusal)),
+        };
+        let mut ask = self.make(&statement, Some(arguments), key, shared);
+        if long.is_empty() {
+            self.hand_on(now, ask, statement.deadline, shared);
+        } else {
+            ask.work.long = long;
+            self.wait_for(now, Box::new(ask), statement.deadline, shared);
+        }
         Ok(None)
     }
 
-    /// Hands a statement on to the core.
-    fn ask(
+    /// A request for a statement, with its key where an argument holds it.
+    fn make(
         &mut self,
-        now: Time,
         statement: &Statement,
         arguments: Option<Vec<u8>>,
+        key: Option<Arc<str>>,
         shared: &mut Shared,
-    ) -> Res<()> {
+    ) -> Ask {
         let key = match &statement.key {
-            None => None,
             Some(Key::Told(key)) => Some(key.clone()),
-            Some(Key::Parameter(at)) => match &arguments {
-                Some(arguments) => key_of(arguments, statement, *at)?,
-                None => None,
-            },
+            _ => key,
         };
         shared.requests += 1;
-        let id: RequestId = format!("mysql-{:x}", shared.requests).into();
-        self.deadline = now + statement.deadline.min(shared.desk.limits.allow);
-        self.open = Some(id.clone());
-        let ask = Ask {
+        Ask {
             door: shared.desk.door,
-            id,
+            id: format!("mysql-{:x}", shared.requests).into(),
             class: statement.class,
-            deadline: self.deadline,
+            deadline: Time::INFINITY,
             estimate: statement.estimate,
             memory: statement.memory,
             tables: statement.tables,
@@ -484,16 +559,27 @@
             work: Work {
                 class: shared.classes[statement.class].0.clone(),
                 statement: statement.text.clone(),
-                body: None,
                 arguments: arguments.map(Arc::from),
                 key,
+                ..Work::default()
             },
-        };
+        }
+    }
+
+    /// Hands a request on to the core. Its time runs from now.
+    fn hand_on(&mut self, now: Time, mut ask: Ask, time: f64, shared: &mut Shared) {
+        self.deadline = now + time.min(shared.desk.limits.allow);
+        ask.deadline = self.deadline;
+        self.open = Some(ask.id.clone());
         shared.desk.ask(self.token, ask);
-        Ok(())
     }
 }
 
+/// The largest packet that is taken.
+fn most(shared: &Shared) -> usize {
+    shared.desk.limits.body.max(shared.desk.limits.large)
+}
+
 fn unknown(id: u32, place: &str) -> Refusal {
     Refusal(1243, "HY000", format!("Unknown prepared statement handler ({id}) given to {place}"))
 }
@@ -545,7 +631,11 @@
 
 /// An execution's arguments with their types, checked: null bitmap, a 1, types, values. `None` if types were
 /// never bound.
-fn arguments(reader: &mut Reader, statement: &mut Statement) -> Res<Option<Vec<u8>>> {
+fn arguments(
+    reader: &mut Reader,
+    statement: &mut Statement,
+    ahead: impl Fn(usize) -> bool,
+) -> Res<Option<Vec<u8>>> {
     let count = statement.parameters;
     if count == 0 {
         return Ok(Some(Vec::new()));
@@ -561,7 +651,7 @@
     }
     let values = reader.0;
     for at in 0..count {
-        if nulls[at / 8] >> (at % 8) & 1 == 0 {
+        if nulls[at / 8] >> (at % 8) & 1 == 0 && !ahead(at) {
             packet::value(reader, statement.types[2 * at])?;
         }
     }
@@ -571,19 +661,29 @@
     Ok(Some([nulls, &[1], &statement.types, values].concat()))
 }
 
-/// The key in an argument; none if it is null or no plain text or number.
-fn key_of(arguments: &[u8], statement: &Statement, wanted: usize) -> Res<Option<Arc<str>>> {
+/// The key in an argument; none if it is null. Those that came `ahead` have no value here.
+fn key_of(
+    arguments: &[u8],
+    statement: &Statement,
+    wanted: usize,
+    ahead: impl Fn(usize) -> bool,
+) -> Res<Option<Arc<str>>> {
     let mut reader = Reader(arguments);
     let nulls = reader.take(statement.parameters.div_ceil(8))?;
     reader.take(1 + 2 * statement.parameters)?;
     for at in 0..=wanted {
-        let null = nulls[at / 8] >> (at % 8) & 1 == 1;
+        let null = nulls[at / 8] >> (at % 8) & 1 == 1 || ahead(at);
         let value = if null { &[] } else { packet::value(&mut reader, statement.types[2 * at])? };
         if at == wanted && !value.is_empty() {
-            let text = std::str::from_utf8(value).ok().filter(|t| t.chars().all(|c| c.is_ascii_graphic()));
-            let hex = || value.iter().map(|b| format!("{b:02x}")).collect::<String>();
-            return Ok(Some(text.map_or_else(hex, String::from).into()));
+            return Ok(Some(key_text(value)));
         }
     }
     Ok(None)
 }
+
+/// A key as it goes on: plain text as it is, all else in hex.
+fn key_text(value: &[u8]) -> Arc<str> {
+    let text = std::str::from_utf8(value).ok().filter(|t| t.chars().all(|c| c.is_ascii_graphic()));
+    let hex = || value.iter().map(|b| format!("{b:02x}")).collect::<String>();
+    text.map_or_else(hex, String::from).into()
+}
--- a/src/front/mysql/setup.rs
+++ b/src/front/mysql/setup.rs
@@ -27,7 +27,6 @@
     ("interactive_timeout", "28800"),
     ("license", "Apache-2.0"),
     ("lower_case_table_names", "0"),
-    ("max_allowed_packet", "131072"),
     ("net_write_timeout", "60"),
     ("performance_schema", "0"),
     ("sql_mode", ""),
@@ -67,8 +66,8 @@
     Plan::Here(vec![error(1235, "42000", &message)])
 }
 
-/// Looks at a statement's beginning.
-pub fn plan(statement: &str) -> Plan {
+/// Looks at a statement's beginning. `packet` is the largest that is taken (bytes).
+pub fn plan(statement: &str, packet: usize) -> Plan {
     let words = sql::words(statement, 3);
     let word = |at: usize| words.get(at).map_or("", String::as_str);
     let flat = statement.to_ascii_lowercase().split_whitespace().collect::<String>();
@@ -78,7 +77,7 @@
         "create" if word(1) == "temporary" => not_supported("temporary tables"),
         "show" if matches!(word(1), "warnings" | "errors") => rows(&["Level", "Code", "Message"], None),
         "show" if flat.contains("variables") => rows(&["Variable_name", "Value"], None),
-        "select" => select(statement, &flat),
+        "select" => select(statement, &flat, packet),
         first if BOUND.contains(&first) => not_supported(first),
         _ => Plan::Forward,
     }
@@ -99,7 +98,7 @@
     }
 }
 
-fn select(statement: &str, flat: &str) -> Plan {
+fn select(statement: &str, flat: &str, packet: usize) -> Plan {
     let asked = flat.strip_prefix("select").unwrap_or_default().trim_end_matches(';');
     match asked {
         "1" => return rows(&["1"], Some(&["1"])),
@@ -111,19 +110,20 @@
         return if variable { not_supported("user variables") } else { Plan::Forward };
     }
     let list = statement.trim().trim_end_matches(';').get("select".len()..).unwrap_or_default();
-    let (mut names, mut values) = (Vec::new(), Vec::new());
+    let (mut names, mut values, packet) = (Vec::new(), Vec::new(), packet.to_string());
     for item in list.split(',') {
         let mut words = item.split_whitespace();
         let variable = words.next().unwrap_or_default();
         let plain = variable.trim_start_matches("@@").to_ascii_lowercase();
         let plain = plain.trim_start_matches("session.").trim_start_matches("global.");
-        let Some((_, value)) = VARIABLES.iter().find(|(name, _)| *name == plain) else {
+        let known = VARIABLES.iter().find(|(name, _)| *name == plain).map(|(_, value)| *value);
+        let Some(value) = known.or((plain == "max_allowed_packet").then_some(packet.as_str())) else {
             let message = format!("Unknown system variable '{plain}'");
             return Plan::Here(vec![error(1193, "HY000", &message)]);
         };
         let alias = words.next().filter(|word| word.eq_ignore_ascii_case("as")).and_then(|_| words.next());
         names.push(alias.unwrap_or(variable).trim_matches('`'));
-        values.push(*value);
+        values.push(value);
     }
     if names.len() > 250 {
         return not_supported("so many variables"); // their count is one byte here
--- a/src/link/mysql/mod.rs
+++ b/src/link/mysql/mod.rs
@@ -1,14 +1,18 @@
 //! Attempts over MySQL: one at a time on a connection. A prepared statement is prepared on each connection
 //! when it first runs there, so an execution can go to any engine.
 
+mod sending;
+
 use super::Engines;
-use crate::core::{Call, Ending, Link, News};
+use crate::bodies;
+use crate::core::{Call, Ending, Link, News, Work};
 use crate::limits::Limits;
 use crate::mysql::auth;
 use crate::mysql::config::Mysql;
 use crate::mysql::packet::{self, capability, command, Malformed, Reader, Res};
 use crate::net::{Channel, Connection, Flow, Poller, Ready, Table, Time, Timers, Token};
 use dahliaspoke::interface::{EngineId, Lifecycle, RequestId};
+use sending::{Sending, Sent};
 use std::collections::{HashMap, VecDeque};
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -29,6 +33,10 @@
     timers: Timers<Alarm>,
     /// Attempts that went out whole on connections that have ended.
     written: u64,
+    /// Where large bodies are, if anywhere.
+    spool: Option<bodies::Shared>,
+    /// The connection that each of their readers sends on.
+    readers: HashMap<u64, Token>,
 }
 
 /// Where a connection stands.
@@ -58,8 +66,7 @@
 struct Running {
     id: RequestId,
     attempt: u32,
-    statement: Arc<[u8]>,
-    arguments: Option<Arc<[u8]>>,
+    work: Work,
     /// By which what runs it can be taken back; none while the connection is not ready for it.
     tag: Option<u64>,
 }
@@ -70,6 +77,8 @@
     token: Token,
     stage: Stage,
     running: Option<Running>,
+    /// What goes out bit by bit.
+    sending: Option<Sending>,
     /// Statements that are prepared here, the latest last.
     prepared: VecDeque<(Arc<[u8]>, u32)>,
     /// When it must be ready, or has been idle too long.
@@ -85,8 +94,15 @@
 }
 
 impl MysqlLink {
-    pub fn new(part: u8, config: Rc<Mysql>, poller: Rc<Poller>, limits: Rc<Limits>) -> Self {
-        let shared = Shared { limits, config, news: VecDeque::new(), timers: Timers::default(), written: 0 };
+    pub fn new(
+        part: u8,
+        config: Rc<Mysql>,
+        spool: Option<bodies::Shared>,
+        poller: Rc<Poller>,
+        limits: Rc<Limits>,
+    ) -> Self {
+        let (news, timers, readers) = (VecDeque::new(), Timers::default(), HashMap::new());
+        let shared = Shared { limits, config, news, timers, written: 0, spool, readers };
         let (table, engines) = (Table::new(part, poller), Engines::default());
         Self { table, engines, calls: HashMap::new(), shared }
     }
@@ -107,6 +123,14 @@
         self.table.ready(now, ready, &mut self.shared);
     }
 
+    /// A reader of a body may find something.
+    pub fn wake(&mut self, now: Time, reader: u64) {
+        let Some(token) = self.shared.readers.get(&reader).copied() else { return };
+        let Some(line) = self.table.get(token) else { return };
+        let flow = line.send_on(now, &mut self.shared);
+        self.table.settle(now, token, flow, &mut self.shared);
+    }
+
     /// Follows the list of engines.
     pub fn engine(&mut self, now: Time, id: &EngineId, lifecycle: Lifecycle, told: Option<IpAddr>) {
         let address = self.shared.config.engine.address(id, told);
@@ -181,6 +205,7 @@
             token,
             stage: Stage::Greeting,
             running: None,
+            sending: None,
             prepared: VecDeque::new(),
             until,
         };
@@ -200,14 +225,15 @@
             return self.shared.news.push_back(News::Ended { id, attempt, ending, report });
         };
         let token = line.token;
-        let (statement, arguments) = (call.work.statement, call.work.arguments);
         let (id, attempt, tag) = (call.id.clone(), call.attempt, None);
-        line.running = Some(Running { id, attempt, statement, arguments, tag });
+        line.running = Some(Running { id, attempt, work: call.work, tag });
+        let mut flow = Flow::Open;
         if matches!(line.stage, Stage::Idle) {
             line.begin(&self.shared.limits);
+            flow = line.send_on(now, &mut self.shared);
         }
         self.calls.insert((call.id, call.attempt), token);
-        self.table.settle(now, token, Flow::Open, &mut self.shared);
+        self.table.settle(now, token, flow, &mut self.shared);
     }
 
     /// MySQL has no way to call a statement off on its own connection: the connection ends with it.
@@ -239,6 +265,9 @@
     }
 
     fn readable(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        if self.send_on(now, shared) == Flow::Close {
+            return Flow::Close;
+        }
         loop {
             let (sequence, payload) = match packet::read(&self.channel.input, shared.limits.table) {
                 Ok(None) => return Flow::Open,
@@ -249,20 +278,30 @@
                 }
                 Err(Malformed) => return Flow::Close,
             };
-            if self.packet(now, sequence, payload, shared).is_err() {
+            // With half a command on it a connection is of no more use, whatever the answer was.
+            let halfway = self.sending.is_some();
+            if self.packet(now, sequence, payload, shared).is_err() || halfway {
+                return Flow::Close;
+            }
+            if self.send_on(now, shared) == Flow::Close {
                 return Flow::Close;
             }
         }
     }
 
-    fn writable(&mut self, _: Time, _: &mut Shared) -> Flow {
-        Flow::Open
+    fn writable(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        self.send_on(now, shared)
+    }
+
+    fn has_more(&self) -> bool {
+        self.sending.as_ref().is_some_and(|sending| !sending.waits)
     }
 
     /// What was not begun never ran; the rest may have.
     fn closed(&mut self, _: Time, shared: &mut Shared) {
         shared.written += self.channel.whole;
         let unsent = self.is_unsent();
+        self.end_sending(shared);
         if let Some(run) = self.running.take() {
             let ending = if unsent { Ending::NotSent } else { Ending::Broken };
             shared.news.push_back(News::Ended { id: run.id, attempt: run.attempt, ending, report: None });
@@ -291,13 +330,50 @@
         }
     }
 
+    /// Queues what the socket will take of what goes out bit by bit.
+    fn send_on(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        let Some(sending) = &mut self.sending else { return Flow::Open };
+        let (token, readers) = (self.token, &mut shared.readers);
+        let reads = |reader| {
+            readers.insert(reader, token);
+        };
+        let sent = sending.go_on(now, &mut self.channel, shared.limits.chunks, shared.spool.as_ref(), reads);
+        if let Some(run) = &mut self.running {
+            run.tag = sending.tag;
+        }
+        match sent {
+            Sent::Part => Flow::Open,
+            Sent::All => {
+                self.end_sending(shared);
+                Flow::Open
+            }
+            // The engine must not take a part for the whole.
+            Sent::Lost => Flow::Close,
+        }
+    }
+
+    fn end_sending(&mut self, shared: &mut Shared) {
+        if let Some(sending) = self.sending.take() {
+            shared.readers.retain(|_, token| *token != self.token);
+            drop(sending);
+        }
+    }
+
     /// Sends the attempt, or first what prepares its statement.
     fn begin(&mut self, limits: &Limits) {
         let Some(run) = &self.running else { return };
-        let (statement, arguments) = (run.statement.clone(), run.arguments.clone());
+        let (statement, arguments) = (run.work.statement.clone(), run.work.arguments.clone());
+        let known = arguments.as_ref().and_then(|_| self.statement(&statement));
+        if arguments.is_none() || known.is_some() {
+            self.sending = Sending::of(&run.work, known.unwrap_or_default());
+            if self.sending.is_some() {
+                self.stage = Stage::Running(Answer::default());
+                return;
+            }
+        }
         let tag = match arguments {
             None => Some(self.send(command::QUERY, &[&statement])),
-            Some(arguments) => match self.statement(&statement) {
+            Some(arguments) => match known {
                 Some(id) => {
                     let (id, one) = (id.to_le_bytes(), 1u32.to_le_bytes());
                     Some(self.send(command::EXECUTE, &[&id, &[0], &one, &arguments]))
@@ -427,7 +503,7 @@
         }
         if let (Some(id), 0) = (*statement, *skip) {
             if let Some(run) = &self.running {
-                self.prepared.push_back((run.statement.clone(), id));
+                self.prepared.push_back((run.work.statement.clone(), id));
             }
             self.begin(&shared.limits);
         }
--- a/src/mysql/packet.rs
+++ b/src/mysql/packet.rs
@@ -28,6 +28,7 @@
     pub const PING: u8 = 0x0e;
     pub const PREPARE: u8 = 0x16;
     pub const EXECUTE: u8 = 0x17;
+    pub const LONG_DATA: u8 = 0x18;
     pub const CLOSE: u8 = 0x19;
     pub const RESET: u8 = 0x1a;
 }
@@ -45,8 +46,8 @@
 /// Another result follows.
 pub const MORE_RESULTS: u16 = 8;
 
-const HEADER: usize = 4;
-/// A payload of this length goes on in the next packet; none that large is taken here.
+pub const HEADER: usize = 4;
+/// A payload of this length goes on in the next packet.
 pub const SPLIT: usize = 0xff_ff_ff;
 
 /// A packet: its sequence number and payload.
@@ -167,15 +168,31 @@
 
 /// Bytes of a value in an execution, by its type.
 pub fn value<'a>(reader: &mut Reader<'a>, kind: u8) -> Res<&'a [u8]> {
-    let length = match kind {
-        0x06 => 0,                                               // NULL
-        0x01 => 1,                                               // TINY
-        0x02 | 0x0d => 2,                                        // SHORT, YEAR
-        0x03 | 0x04 | 0x09 => 4,                                 // LONG, FLOAT, INT24
-        0x05 | 0x08 => 8,                                        // DOUBLE, LONGLONG
-        0x07 | 0x0a | 0x0b | 0x0c => reader.number(1)? as usize, // times and dates
-        0x00 | 0x0f | 0x10 | 0xf5..=0xff => reader.length()?,    // texts, decimals, blobs
+    let (prefix, length) = extent(reader.0, kind)?.ok_or(Malformed)?;
+    reader.take(prefix)?;
+    reader.take(length)
+}
+
+/// Bytes that tell the length of the value at the start, and that length; `None` while not all of the former
+/// are here.
+pub fn extent(bytes: &[u8], kind: u8) -> Res<Option<(usize, usize)>> {
+    let prefix = match (kind, bytes.first()) {
+        (0x06, _) => return Ok(Some((0, 0))),               // NULL
+        (0x01, _) => return Ok(Some((0, 1))),               // TINY
+        (0x02 | 0x0d, _) => return Ok(Some((0, 2))),        // SHORT, YEAR
+        (0x03 | 0x04 | 0x09, _) => return Ok(Some((0, 4))), // LONG, FLOAT, INT24
+        (0x05 | 0x08, _) => return Ok(Some((0, 8))),        // DOUBLE, LONGLONG
+        (0x07 | 0x0a..=0x0c | 0x00 | 0x0f | 0x10 | 0xf5..=0xff, None) => return Ok(None),
+        (0x07 | 0x0a..=0x0c, Some(first)) => return Ok(Some((1, usize::from(*first)))), // times and dates
+        // Texts, decimals, blobs: a length-encoded number goes ahead.
+        (0x00 | 0x0f | 0x10 | 0xf5..=0xff, Some(252)) => 3,
+        (0x00 | 0x0f | 0x10 | 0xf5..=0xff, Some(253)) => 4,
+        (0x00 | 0x0f | 0x10 | 0xf5..=0xff, Some(254)) => 9,
+        (0x00 | 0x0f | 0x10 | 0xf5..=0xff, Some(_)) => 1,
         _ => return Err(Malformed),
     };
-    reader.take(length)
+    match bytes.get(..prefix) {
+        Some(bytes) => Reader(bytes).length().map(|length| Some((prefix, length))),
+        None => Ok(None),
+    }
 }
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -17,6 +17,8 @@
     silent: AtomicBool,
     /// Ends the connection in place of an answer.
     dies: AtomicBool,
+    /// The same, for the next one alone.
+    dies_once: AtomicBool,
     prepared: AtomicU32,
     executed: AtomicU32,
 }
@@ -35,12 +37,31 @@
     out.extend_from_slice(payload);
 }
 
+/// A payload, in however many packets it comes.
 fn read_packet(stream: &mut TcpStream) -> Option<Vec<u8>> {
-    let mut header = [0; 4];
-    stream.read_exact(&mut header).ok()?;
-    let mut payload = vec![0; u32::from_le_bytes([header[0], header[1], header[2], 0]) as usize];
-    stream.read_exact(&mut payload).ok()?;
-    Some(payload)
+    let (mut whole, mut length) = (Vec::new(), 0xff_ff_ff);
+    while length == 0xff_ff_ff {
+        let mut header = [0; 4];
+        stream.read_exact(&mut header).ok()?;
+        length = u32::from_le_bytes([header[0], header[1], header[2], 0]) as usize;
+        let start = whole.len();
+        whole.resize(start + length, 0);
+        stream.read_exact(&mut whole[start..]).ok()?;
+    }
+    Some(whole)
+}
+
+/// The text at the start of a value in an execution.
+fn text_value(value: &[u8]) -> &[u8] {
+    let prefix = match value[0] {
+        252 => 3,
+        253 => 4,
+        254 => 9,
+        _ => 1,
+    };
+    let length = value[1..prefix].iter().rev().fold(0, |n, b| n << 8 | usize::from(*b));
+    assert_eq!(value.len(), prefix + if prefix == 1 { usize::from(value[0]) } else { length });
+    &value[prefix..]
 }
 
 const OK: &[u8] = &[0, 0, 0, 2, 0, 0, 0];
@@ -54,7 +75,7 @@
     out
 }
 
-/// One session: every execution answers with its first argument.
+/// One session: every execution answers with its first argument, or the sum of a long one; a text with its own.
 fn session(mut stream: TcpStream, habits: &Habits) -> Option<()> {
     let mut greeting = b"\x0a8.0-stand-in\0\x01\0\0\0aaaaaaaa\0\xff\xff\x2d\x02\0\xff\xff\x15".to_vec();
     greeting.extend_from_slice(&[0; 10]);
@@ -66,10 +87,23 @@
     out.clear();
     packet(&mut out, 2, OK);
     stream.write_all(&out).ok()?;
+    let mut long: Option<Vec<u8>> = None;
     loop {
         let command = read_packet(&mut stream)?;
         out.clear();
         match command[0] {
+            0x18 => {
+                long.get_or_insert_default().extend_from_slice(&command[7..]);
+                continue;
+            }
+            0x03 => {
+                habits.executed.fetch_add(1, Ordering::SeqCst);
+                let sum = crc32fast::hash(&command[1..]).to_string();
+                let row = [&[sum.len() as u8], sum.as_bytes()].concat();
+                for (at, payload) in [&[1][..], &column(), EOF, &row, EOF].iter().enumerate() {
+                    packet(&mut out, 1 + at as u8, payload);
+                }
+            }
             0x16 => {
                 habits.prepared.fetch_add(1, Ordering::SeqCst);
                 packet(&mut out, 1, &[0, 5, 0, 0, 0, 1, 0, 1, 0, 0, 0, 0]);
@@ -82,10 +116,16 @@
                 if habits.silent.load(Ordering::SeqCst) {
                     continue;
                 }
-                if habits.dies.load(Ordering::SeqCst) {
+                if habits.dies.load(Ordering::SeqCst) || habits.dies_once.swap(false, Ordering::SeqCst) {
                     return None;
                 }
-                let argument = &command[command.len() - 8..];
+                // One parameter: what stands before its value are 14 bytes.
+                let argument = match long.take() {
+                    Some(value) => u64::from(crc32fast::hash(&value)).to_le_bytes().to_vec(),
+                    None if command.len() == 14 + 8 => command[14..].to_vec(),
+                    None => u64::from(crc32fast::hash(text_value(&command[14..]))).to_le_bytes().to_vec(),
+                };
+                let argument = &argument[..];
                 let row = [&[0, 0], argument].concat();
                 for (at, payload) in [&[1][..], &column(), EOF, &row, EOF].iter().enumerate() {
                     packet(&mut out, 1 + at as u8, payload);
@@ -154,6 +194,10 @@
 
 /// The program knows the first engines at its start; the file has the addresses of all.
 fn world(first: &[&Engine], later: &[&Engine]) -> World {
+    world_with(first, later, &[])
+}
+
+fn world_with(first: &[&Engine], later: &[&Engine], more: &[(&str, String)]) -> World {
     let names = names();
     let engines = [first, later].concat();
     let known: Vec<_> = first.iter().map(|e| (e.id, e.resp)).collect();
@@ -165,8 +209,11 @@
         statement = [{{ starts = "select", class = "lookup" }}, {{ starts = "insert", class = "load" }}]
         engine = {{ port = 3306, user = "gateway", addresses = {{ {addresses} }} }}"#
     );
-    let daemon =
-        Daemon::start(&config(&known, names.local_addr().expect("bound")), &[("mysql.toml", toml)], None);
+    let daemon = Daemon::start(
+        &config(&known, names.local_addr().expect("bound")),
+        &[&[("mysql.toml", toml)], more].concat(),
+        None,
+    );
     World { daemon, names }
 }
 
@@ -341,3 +388,91 @@
     };
     assert_eq!(figures(true), figures(false));
 }
+
+const MB: usize = 1 << 20;
+
+fn letters(length: usize, seed: usize) -> String {
+    (0..length).map(|n| (b'a' + ((n * 7 + n / 251 + seed) % 26) as u8) as char).collect()
+}
+
+fn sum(text: &str) -> u64 {
+    u64::from(crc32fast::hash(text.as_bytes()))
+}
+
+/// Memory alone, or files as well.
+fn keeps(files: bool) -> (&'static str, String) {
+    let files = if files { "files_mb = 256\nfolder = \"bodies\"\n" } else { "" };
+    ("bodies.toml", format!("memory_mb = 64\nlargest_mb = 40\n{files}"))
+}
+
+#[test]
+fn parameters_and_texts_of_any_size_reach_the_engine_as_they_were() {
+    for files in [false, true] {
+        let one = engine("e1");
+        let world = world_with(&[&one], &[], &[keeps(files)]);
+        let mut session = world.session();
+        let statement =
+            session.prep("INSERT /* dahliaspoke key=k1 */ INTO sales_17.orders SELECT ?").expect("prepared");
+        for (seed, length) in [100, 200_000, MB, 0xff_ff_ff - 18, 17 * MB, 33 * MB].into_iter().enumerate() {
+            let text = letters(length, seed);
+            let got: Option<u64> = session.exec_first(&statement, (&text,)).expect("served");
+            assert_eq!(got, Some(sum(&text)), "a parameter of {length} bytes, files: {files}");
+        }
+        for length in [150_000, 0xff_ff_ff - 40, 20 * MB] {
+            let text = format!("SELECT '{}' FROM sales_17.orders", letters(length, 3));
+            let got: Option<u64> = session.query_first(&text).expect("served");
+            assert_eq!(got, Some(sum(&text)), "a text of {length} bytes, files: {files}");
+        }
+        // The session goes on as before.
+        assert_eq!(session.query_first("SELECT @@max_allowed_packet").expect("told"), Some(40 * MB));
+        assert_eq!(session.exec_first(&statement, (5u64,)).expect("served"), Some(5u64));
+        let counters = world.counters();
+        assert_eq!((counters["taken"], counters["served"]), (10, 10));
+    }
+}
+
+#[test]
+fn a_long_parameter_is_sent_again_whole_where_its_engine_died() {
+    for (files, length) in [(false, MB), (true, 20 * MB)] {
+        let (one, two) = (engine("e1"), engine("e2"));
+        let world = world_with(&[&one, &two], &[], &[keeps(files)]);
+        let mut session = world.session();
+        let keyed =
+            session.prep("INSERT /* dahliaspoke key=k1 */ INTO sales_17.orders SELECT ?").expect("prepared");
+        let text = letters(length, 1);
+        one.habits.dies_once.store(true, Ordering::SeqCst);
+        two.habits.dies_once.store(true, Ordering::SeqCst);
+        let got: Option<u64> = session.exec_first(&keyed, (&text,)).expect("served in the end");
+        assert_eq!(got, Some(sum(&text)));
+        let ran = || one.habits.executed.load(Ordering::SeqCst) + two.habits.executed.load(Ordering::SeqCst);
+        let before = ran();
+        assert!(before > 1, "the first engine died");
+        // Without a key it has failed, at once, and is not sent again.
+        one.habits.dies.store(true, Ordering::SeqCst);
+        two.habits.dies.store(true, Ordering::SeqCst);
+        let load = session.prep("INSERT INTO sales_17.orders SELECT ?").expect("prepared");
+        let (number, state, _) = code(session.exec_first(&load, (&text,)));
+        assert_eq!((number, state.as_str()), (1317, "70100"));
+        assert_eq!(ran(), before + 1);
+    }
+}
+
+#[test]
+fn what_is_larger_than_may_be_or_has_no_room_is_told_and_harms_nobody() {
+    let one = engine("e1");
+    let small = "memory_mb = 5\nlargest_mb = 2\n[class.load]\nmemory_share = 0.1\n";
+    let world = world_with(&[&one], &[], &[("bodies.toml", small.into())]);
+    let mut session = world.session();
+    let load = session.prep("INSERT INTO sales_17.orders SELECT ?").expect("prepared");
+    let (number, _, message) = code(session.exec_first(&load, (letters(MB, 1),)));
+    assert_eq!(number, 3168, "{message}");
+    assert!(message.contains("retry after"), "{message}");
+    assert_eq!(session.exec_first(&load, (7u64,)).expect("the session goes on"), Some(7u64));
+    let select = session.prep("SELECT n FROM sales_17.orders WHERE n = ?").expect("prepared");
+    assert!(session.exec_first::<u64, _, _>(&select, (letters(3 * MB, 1),)).is_err());
+    let mut session = world.session();
+    let got: Option<u64> = session.query_first(format!("SELECT '{}'", letters(MB, 2))).expect("served");
+    assert!(got.is_some());
+    let counters = world.counters();
+    assert_eq!((counters["served"], counters["failed"]), (2, 0));
+}
