Bodies: the time left counts in what gives way; refused connects and 60 MB to a small door tested

Need: the issue's list: decide by deadline too, and a passed body whose engine refuses the connect may go elsewhere. Change: a body in memory is valued by worth over bytes and seconds left. Tests: 20 passed bodies with one of two engines not listening all reach the other once, unaltered; 60 MB to a door that takes 1 MB is 413 and peaks under 16 MB.

--- a/crates/bodies/src/plan.rs
+++ b/crates/bodies/src/plan.rs
@@ -15,7 +15,7 @@
 //! 2. Windows, counted in chunks, stay within their budget; those of arrivals leave some for replays.
 //! 3. A body that is here whole never becomes a passed one.
 //! 4. Only a body that is whole, in memory and not being read is demoted, and of those the one that is worth
-//!    least by the byte.
+//!    least by the byte and second.
 //! 5. A body that is passed on has one reader at most.
 //! 6. What was taken is given back when the body is closed, once.
 
@@ -78,6 +78,8 @@
 pub const REPLAY: usize = 4;
 /// Share of the windows that arrivals may hold.
 const ARRIVALS: f64 = 0.75;
+/// Less time than this (s) counts as this: a move takes as long.
+const SOON: f64 = 0.1;
 /// What the worth of a body counts where no attempt can follow one that may have run.
 const UNREPEATED: f64 = 0.1;
 
@@ -359,7 +361,7 @@
             .held
             .iter()
             .filter(|(_, h)| fitting(h))
-            .min_by(|(a, x), (b, y)| self.value(x).total_cmp(&self.value(y)).then(a.cmp(b)))?;
+            .min_by(|(a, x), (b, y)| self.value(now, x).total_cmp(&self.value(now, y)).then(a.cmp(b)))?;
         let held = self.held.get_mut(&id)?;
         held.moving = true;
         let (class, length) = (held.class, held.length);
@@ -367,12 +369,13 @@
         Some(id)
     }
 
-    /// What keeping a body in memory is worth (worth a byte): a small one is as likely to be needed again as a
-    /// large one, and costs less.
-    pub fn value(&self, held: &Held) -> f64 {
+    /// What keeping a body in memory is worth (worth a byte and second): a small one is as likely to be needed
+    /// again as a large one, and takes less; one whose time is nearly over gives its room back by itself.
+    pub fn value(&self, now: f64, held: &Held) -> f64 {
         let rules = &self.rules.classes[held.class];
         let counts = if rules.repeats { 1.0 } else { UNREPEATED };
-        counts * rules.worth / held.length.max(1) as f64
+        let left = (held.deadline - now).max(SOON);
+        counts * rules.worth / (held.length.max(1) as f64 * left)
     }
 
     /// A demotion has ended: the body is in its file, or stays in memory.
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -302,6 +302,43 @@
     assert_eq!(ledger.taken.lock().expect("held").len(), 7);
 }
 
+#[test]
+fn a_body_that_is_passed_on_goes_elsewhere_where_an_engine_refuses_to_connect() {
+    let (mut engines, ledger) = engines(1);
+    // Nobody listens at the first: its port was somebody's a moment ago.
+    let gone = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a port");
+    engines.insert(0, Engine::nowhere("gone", gone));
+    let daemon = start(&engines, NOTHING, None);
+    for id in 0..20 {
+        let body = statement(id, MB + id as usize);
+        let mut client = Client::new(&daemon);
+        client.head("load", id, true, body.len()).expect("sent");
+        client.send(&body).expect("sent");
+        assert_eq!(client.answer().0, 200);
+        let taken = ledger.taken.lock().expect("held");
+        let taken = &taken[&format!("{id:016x}")];
+        assert!(taken.len() == 1 && taken[0].sum == crc32fast::hash(&body));
+    }
+    let figures = stats(&daemon);
+    assert_eq!((figures["bodies.passed.taken.load"], figures["failed.load"]), (20, 0));
+}
+
+#[test]
+fn a_client_that_sends_far_too_much_is_told_so_and_no_more_of_it_is_kept() {
+    let (engines, _) = engines(1);
+    let daemon = start(&engines, "memory_mb = 8\nlargest_mb = 1\n", None);
+    let mut client = Client::new(&daemon);
+    client.head("load", 1, true, 60 * MB).expect("sent");
+    let mut writer = client.0.get_ref().try_clone().expect("a copy");
+    let sender = std::thread::spawn(move || {
+        let piece = vec![b'x'; MB];
+        (0..60).map_while(|_| writer.write_all(&piece).ok()).count()
+    });
+    assert_eq!(client.answer(), (413, false));
+    sender.join().expect("it ends, with all of it passed over or the connection closed");
+    assert!(daemon.memory_peak() < 16 * 1024, "{} KB", daemon.memory_peak());
+}
+
 #[test]
 fn a_slow_engine_stops_the_reading_from_its_client() {
     // A listener that takes the connection and reads nothing.
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -130,6 +130,11 @@
         Self { id: id.into(), address, life, begun }
     }
 
+    /// One that is in the list only.
+    pub fn nowhere(id: &str, address: SocketAddr) -> Self {
+        Self { id: id.into(), address, life: Arc::default(), begun: Arc::default() }
+    }
+
     /// Every connection ends, whatever is on it.
     pub fn kill(&self) {
         self.life.fetch_add(1, Ordering::SeqCst);
