--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,34 @@
+//! The lab: a model of coordinators, engines, clients and halls in virtual time. It hosts the real decision
+//! module, plain policies beside it, and an auditor that checks the platform's rules on all of them alike.
+//!
+//! One scenario and one seed give one run, bit for bit: time is counted in whole microseconds, every draw comes
+//! from the seed, and events of one time go in the order in which they were set.
+//!
+//! - [`queue`]: what happens next;
+//! - [`engine`]: cores, disks, memory, sessions, warm data and loads of one engine;
+//! - [`policy`]: who decides: the module, or one of the plain policies;
+//! - [`world`]: clients, coordinators, the network, the list, troubles;
+//! - [`audit`]: the rules; [`scenario`]: what is played; [`report`]: what it came to.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod audit;
+pub mod engine;
+pub mod policy;
+pub mod queue;
+pub mod report;
+pub mod scenario;
+pub mod world;
+
+/// A point in virtual time, or a span of it (us).
+pub type Micros = u64;
+
+/// Seconds as microseconds.
+pub fn micros(seconds: f64) -> Micros {
+    (seconds.max(0.0) * 1e6).round() as Micros
+}
+
+/// Microseconds as seconds.
+pub fn seconds(micros: Micros) -> f64 {
+    micros as f64 / 1e6
+}
