--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,12 +8,14 @@
 //! - [`engine`]: cores, disks, memory, sessions, warm data and loads of one engine;
 //! - [`policy`]: who decides: the module, or one of the plain policies;
 //! - [`world`]: clients, coordinators, the network, the list, troubles;
-//! - [`audit`]: the rules; [`scenario`]: what is played; [`report`]: what it came to.
+//! - [`audit`]: the rules; [`scenario`]: what is played; [`report`]: what it came to;
+//! - [`experiment`]: many runs, compared.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod audit;
 pub mod engine;
+pub mod experiment;
 pub mod policy;
 pub mod queue;
 pub mod report;
