--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -50,8 +50,9 @@
 /// One run's result.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Row {
-    /// Names the scenario with its varied value: rows of another text are not taken up again.
-    pub scenario: u64,
+    /// Names the program that played it, and the scenario with its varied value: rows of another program or of
+    /// another text are not taken up again.
+    pub play: u64,
     /// The varied value.
     pub value: f64,
     /// Who decided.
@@ -123,10 +124,16 @@
     seed: u64,
 }
 
-/// A sum over a text that names it (FNV-1a).
-fn name(text: &str) -> u64 {
-    text.bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |sum, byte| (sum ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3))
+/// A sum over bytes that names them (FNV-1a).
+fn name(bytes: &[u8]) -> u64 {
+    let mix = |sum: u64, byte: &u8| (sum ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3);
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, mix)
+}
+
+/// Names this program: another build may play the same text otherwise.
+fn program() -> u64 {
+    let text = std::env::current_exe().and_then(std::fs::read);
+    text.map_or(0, |text| name(&text))
 }
 
 impl Experiment {
@@ -148,7 +155,7 @@
     }
 
     fn plays(&self) -> Result<Vec<Play>, String> {
-        let mut plays = Vec::new();
+        let (mut plays, program) = (Vec::new(), program());
         for value in &self.vary.values {
             let number = match value {
                 toml::Value::Integer(number) => *number as f64,
@@ -162,7 +169,7 @@
                 Scenario::read(&text).map_err(|e| format!("scenario, {} = {value}: {e}", self.vary.key))?;
             for policy in &self.policies {
                 for seed in 1..=self.seeds {
-                    let (scenario, id, policy) = (scenario.clone(), name(&text), *policy);
+                    let (scenario, id, policy) = (scenario.clone(), program ^ name(text.as_bytes()), *policy);
                     plays.push(Play { scenario, id, value: number, policy, seed });
                 }
             }
@@ -186,9 +193,8 @@
         let path = folder.join("rows.jsonl");
         let mut rows = read_rows(&path);
         let plays = self.plays()?;
-        let is = |row: &Row, play: &Play| {
-            (row.scenario, row.policy, row.seed) == (play.id, play.policy, play.seed)
-        };
+        let is =
+            |row: &Row, play: &Play| (row.play, row.policy, row.seed) == (play.id, play.policy, play.seed);
         rows.retain(|row| plays.iter().any(|play| is(row, play)));
         let missing: Vec<&Play> = plays.iter().filter(|play| !rows.iter().any(|row| is(row, play))).collect();
         // What was cut off in the middle of a line, or is of another text, goes.
@@ -319,7 +325,7 @@
 fn row(play: &Play, report: &Report) -> Row {
     let [served, window, class] = report.served;
     Row {
-        scenario: play.id,
+        play: play.id,
         value: play.value,
         policy: play.policy,
         seed: play.seed,
