Lab: the load tool's core: open-loop schedules, latency from the intended time, retries counted once

Need: the operators rehearse with tripled traffic, and a stalled coordinator must show as slow answers, not as fewer requests. Change: arrivals (steady, ramp, spike, steps, on-off; even, Poisson, heavy gaps) fixed ahead of any answer; a driver without I/O or clock that says which request goes out when and what its answer counts; it tells the tool's own lateness and voids itself.

--- /dev/null
+++ b/crates/lab/src/arrivals.rs
@@ -0,0 +1,104 @@
+//! When requests are to be sent: points of an open stream, fixed before any answer is seen.
+
+use crate::{micros, Micros};
+use rand::Rng;
+use rand_core::SeedableRng;
+use rand_distr::{Distribution, Exp1, Gamma};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+
+/// How the rate moves over the run.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, clap::ValueEnum)]
+#[serde(rename_all = "kebab-case")]
+pub enum Shape {
+    /// It stays.
+    Steady,
+    /// From nothing to twice the mean.
+    Ramp,
+    /// Three times the mean for a tenth of the run, from its middle on.
+    Spike,
+    /// Four equal steps up.
+    Steps,
+    /// On and off, a second each, at twice the mean.
+    OnOff,
+}
+
+/// How far apart requests come.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, clap::ValueEnum)]
+#[serde(rename_all = "kebab-case")]
+pub enum Gaps {
+    /// Equally far.
+    Even,
+    /// Independent of each other (Poisson).
+    Poisson,
+    /// In clumps, with long gaps: gamma with a coefficient of variation of 3.
+    Heavy,
+}
+
+impl Shape {
+    /// The rate at a share of the run, over the mean.
+    pub fn at(self, share: f64, seconds: f64) -> f64 {
+        match self {
+            Shape::Steady => 1.0,
+            Shape::Ramp => 2.0 * share,
+            Shape::Spike if (0.5..0.6).contains(&share) => 3.0,
+            Shape::Spike => 7.0 / 9.0,
+            Shape::Steps => 0.4 * (1.0 + (share * 4.0).floor().min(3.0)),
+            Shape::OnOff => 2.0 * (1.0 - (share * seconds).floor() % 2.0),
+        }
+    }
+}
+
+/// The points, in order. Gaps are drawn in units of the mean and stretched by the rate as it is, so that the count
+/// is the rate times the span in the mean, whatever the shape.
+pub fn schedule(rate: f64, seconds: f64, shape: Shape, gaps: Gaps, seed: u64) -> Vec<Micros> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let heavy = Gamma::new(1.0 / 9.0, 9.0);
+    let mut draw = || match (gaps, &heavy) {
+        (Gaps::Even, _) | (Gaps::Heavy, Err(_)) => 1.0,
+        (Gaps::Poisson, _) => rng.sample(Exp1),
+        (Gaps::Heavy, Ok(gamma)) => gamma.sample(&mut rng),
+    };
+    // Work through the integral of the rate in small steps.
+    const STEP: f64 = 0.001;
+    let (mut points, mut due, mut sum, mut at) = (Vec::new(), draw(), 0.0, 0.0);
+    while at < seconds {
+        let gain = rate * shape.at(at / seconds, seconds) * STEP;
+        while gain > 0.0 && sum + gain >= due {
+            points.push(micros(at + STEP * (due - sum) / gain));
+            due += draw().max(1e-9);
+        }
+        sum += gain;
+        at += STEP;
+    }
+    points
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_shape_has_the_mean_rate_and_points_in_order() {
+        for shape in [Shape::Steady, Shape::Ramp, Shape::Spike, Shape::Steps, Shape::OnOff] {
+            for gaps in [Gaps::Even, Gaps::Poisson, Gaps::Heavy] {
+                let points = schedule(500.0, 40.0, shape, gaps, 1);
+                let count = points.len() as f64;
+                let spread = if gaps == Gaps::Heavy { 0.1 } else { 0.02 };
+                assert!((count / 20_000.0 - 1.0).abs() < spread, "{shape:?} {gaps:?}: {count}");
+                assert!(points.is_sorted() && points.last().is_some_and(|at| *at <= 40_001_000));
+            }
+        }
+        assert_eq!(
+            schedule(100.0, 5.0, Shape::Steady, Gaps::Poisson, 7),
+            schedule(100.0, 5.0, Shape::Steady, Gaps::Poisson, 7)
+        );
+    }
+
+    #[test]
+    fn a_spike_is_where_it_is_said() {
+        let points = schedule(1000.0, 10.0, Shape::Spike, Gaps::Even, 1);
+        let within = points.iter().filter(|at| (5_000_000..6_000_000).contains(*at)).count();
+        assert!((2990..=3010).contains(&within), "{within}");
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,13 +9,16 @@
 //! - [`policy`]: who decides: the module, or one of the plain policies;
 //! - [`world`]: clients, coordinators, the network, the list, troubles;
 //! - [`audit`]: the rules; [`scenario`]: what is played; [`report`]: what it came to;
-//! - [`experiment`]: many runs, compared.
+//! - [`experiment`]: many runs, compared;
+//! - [`arrivals`] and [`load`]: the load tool, for real coordinators on loopback.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod arrivals;
 pub mod audit;
 pub mod engine;
 pub mod experiment;
+pub mod load;
 pub mod policy;
 pub mod queue;
 pub mod report;
