Lab: the load tool on sockets, loopback only, with a command of its own

An address that is not on loopback is refused before a byte goes out. Exit code 3 where the figures are void. Measured: 1,000 requests against a stand-in that refuses a third and drops a hundredth: each counted once, each try with an id of its own, tries of one request with one key.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,7 +10,7 @@
 //! - [`world`]: clients, coordinators, the network, the list, troubles;
 //! - [`audit`]: the rules; [`scenario`]: what is played; [`report`]: what it came to;
 //! - [`experiment`]: many runs, compared;
-//! - [`arrivals`] and [`load`]: the load tool, for real coordinators on loopback.
+//! - [`arrivals`], [`load`] and [`sockets`]: the load tool, for real coordinators on loopback.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -23,6 +23,7 @@
 pub mod queue;
 pub mod report;
 pub mod scenario;
+pub mod sockets;
 pub mod world;
 
 /// A point in virtual time, or a span of it (us).
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,19 +1,23 @@
 //! The lab's command line.
 
 use clap::{Parser, Subcommand};
+use dahliaspoke_lab::arrivals::{schedule, Gaps, Shape};
 use dahliaspoke_lab::experiment::Experiment;
+use dahliaspoke_lab::load::{Driver, Manner, Mode};
 use dahliaspoke_lab::policy::Kind;
 use dahliaspoke_lab::report::Report;
 use dahliaspoke_lab::scenario::Scenario;
+use dahliaspoke_lab::sockets::{self, Part, Target};
 use dahliaspoke_lab::world;
 use indicatif::ProgressBar;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Tries designs on a model of the fleet, in virtual time.
 ///
-/// Exit codes: 0 done, 1 a rule was broken, 2 a bad file or word.
+/// Exit codes: 0 done, 1 the module broke a rule, 2 a bad file or word, 3 the figures are void.
 #[derive(Parser)]
 #[command(name = "dahliaspoke-lab", version)]
 struct Line {
@@ -54,6 +58,59 @@
         #[arg(long)]
         jobs: Option<usize>,
     },
+    /// Sends an open stream of requests to coordinators on loopback.
+    ///
+    /// Example: dahliaspoke-lab load --to 127.0.0.1:5050 --rate 200 --shape spike --class lookup:12:3000:100
+    #[command(verbatim_doc_comment)]
+    Load {
+        /// Where clients connect; several are used in turn.
+        #[arg(long, required = true)]
+        to: Vec<SocketAddr>,
+        /// Requests a second, in the mean.
+        #[arg(long, default_value = "100")]
+        rate: f64,
+        /// How long (s).
+        #[arg(long, default_value = "20")]
+        seconds: f64,
+        /// How the rate moves.
+        #[arg(long, value_enum, default_value = "steady")]
+        shape: Shape,
+        /// How far apart requests come.
+        #[arg(long, value_enum, default_value = "poisson")]
+        gaps: Gaps,
+        /// NAME:SHARE:ALLOW_MS:SIZE_MS, with :keyed behind it where a key goes along.
+        #[arg(long, default_value = "lookup:1:3000:100", value_parser = part)]
+        class: Vec<Part>,
+        /// What clients do when they are turned away.
+        #[arg(long, value_enum, default_value = "as-told")]
+        manner: Manner,
+        /// Connections at the most; a run that needs more is void.
+        #[arg(long, default_value = "500")]
+        connections: usize,
+        /// Ask again only after an answer, as tools that hide stalls do: to compare.
+        #[arg(long)]
+        closed: bool,
+        /// The draw.
+        #[arg(long, default_value = "1")]
+        seed: u64,
+    },
+}
+
+/// NAME:SHARE:ALLOW_MS:SIZE_MS, and :keyed.
+fn part(text: &str) -> Result<Part, String> {
+    let words: Vec<&str> = text.split(':').collect();
+    let keyed = words.get(4) == Some(&"keyed");
+    let ((4, false) | (5, true)) = (words.len(), keyed) else {
+        return Err("it is NAME:SHARE:ALLOW_MS:SIZE_MS, and :keyed or not".into());
+    };
+    let number = |at: usize| words[at].parse::<f64>().map_err(|e| format!("{}: {e}", words[at]));
+    Ok(Part {
+        class: words[0].into(),
+        share: number(1)?,
+        allow_ms: number(2)? as u64,
+        size_ms: number(3)?,
+        keyed,
+    })
 }
 
 fn main() -> ExitCode {
@@ -64,14 +121,28 @@
                 println!("{text}");
                 ExitCode::SUCCESS
             }
-            Err(message) => {
-                eprintln!("dahliaspoke-lab: {message}");
-                ExitCode::from(2)
-            }
+            Err(message) => fault(&message),
         },
+        Command::Load { to, rate, seconds, shape, gaps, class, manner, connections, closed, seed } => {
+            let target = match Target::new(to, class, seed) {
+                Ok(target) => target,
+                Err(message) => return fault(&message),
+            };
+            let points = schedule(rate, seconds, shape, gaps, seed);
+            let mode = if closed { Mode::Closed } else { Mode::Open };
+            let driver = Driver::new(&points, mode, manner, connections);
+            let summary = sockets::run(driver, &target, Duration::from_secs(30)).summary();
+            println!("{}", serde_json::json!(summary));
+            ExitCode::from(if summary.void { 3 } else { 0 })
+        }
     }
 }
 
+fn fault(message: &str) -> ExitCode {
+    eprintln!("dahliaspoke-lab: {message}");
+    ExitCode::from(2)
+}
+
 fn experiment(file: &PathBuf, out: Option<PathBuf>, jobs: Option<usize>) -> Result<String, String> {
     let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
     let experiment = Experiment::read(&text).map_err(|e| format!("{}: {e}", file.display()))?;
@@ -89,10 +160,7 @@
 fn run(scenario: Option<PathBuf>, policy: Vec<Kind>, seeds: &[u64], json: bool) -> ExitCode {
     let scenario = match scenario.map(|path| read(&path)).transpose() {
         Ok(scenario) => scenario.unwrap_or_default(),
-        Err(message) => {
-            eprintln!("dahliaspoke-lab: {message}");
-            return ExitCode::from(2);
-        }
+        Err(message) => return fault(&message),
     };
     let mut broken = false;
     for kind in policy {
--- /dev/null
+++ b/crates/lab/tests/sockets.rs
@@ -0,0 +1,96 @@
+//! The load tool against a stand-in coordinator on loopback. Counts only: no verdict hangs on how long anything
+//! takes.
+
+use dahliaspoke_lab::arrivals::{schedule, Gaps, Shape};
+use dahliaspoke_lab::load::{Driver, Manner, Mode};
+use dahliaspoke_lab::sockets::{run, Part, Target};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Ids and keys that came, in order.
+type Came = Arc<Mutex<Vec<(String, Option<String>)>>>;
+
+/// Refuses every third call, ends the connection on every hundredth, serves the others.
+fn coordinator() -> (SocketAddr, Came) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (address, came) = (listener.local_addr().expect("bound"), Came::default());
+    let told = came.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let came = told.clone();
+            std::thread::spawn(move || {
+                let mut writer = stream.try_clone().ok()?;
+                let mut reader = BufReader::new(stream);
+                loop {
+                    let (mut id, mut key, mut length) = (String::new(), None, 0);
+                    loop {
+                        let mut line = String::new();
+                        if reader.read_line(&mut line).ok()? == 0 {
+                            return None;
+                        }
+                        match line.trim_end().split_once(": ") {
+                            Some(("X-Job-Id", value)) => id = value.into(),
+                            Some(("X-Unique", value)) => key = Some(value.into()),
+                            Some(("Content-Length", value)) => length = value.parse().ok()?,
+                            None if line.trim_end().is_empty() => break,
+                            _ => {}
+                        }
+                    }
+                    reader.read_exact(&mut vec![0; length]).ok()?;
+                    let number = {
+                        let mut came = came.lock().ok()?;
+                        came.push((id, key));
+                        came.len()
+                    };
+                    let answer: &[u8] = match number {
+                        n if n % 100 == 0 => return Some(()),
+                        n if n % 3 == 0 => b"HTTP/1.1 503 No\r\nX-Wait-Ms: 5\r\nContent-Length: 2\r\n\r\n{}",
+                        _ => b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+                    };
+                    writer.write_all(answer).ok()?;
+                }
+            });
+        }
+    });
+    (address, came)
+}
+
+fn part(class: &str, share: f64, keyed: bool) -> Part {
+    Part { class: class.into(), share, allow_ms: 3000, size_ms: 100.0, keyed }
+}
+
+#[test]
+fn every_request_that_is_due_is_sent_and_counted_once() {
+    let (address, came) = coordinator();
+    let parts = vec![part("lookup", 3.0, false), part("load", 1.0, true)];
+    let target = Target::new(vec![address], parts, 7).expect("loopback");
+    let points = schedule(1000.0, 1.0, Shape::Steady, Gaps::Poisson, 1);
+    let driver = Driver::new(&points, Mode::Open, Manner::AsTold, 400);
+    let summary = run(driver, &target, Duration::from_secs(20)).summary();
+    let came = came.lock().expect("held");
+    assert_eq!(summary.due, points.len());
+    assert_eq!(summary.served + summary.refused + summary.failed, summary.due);
+    assert_eq!(summary.tries, came.len(), "each try reached it once");
+    assert_eq!(summary.failed, came.len() / 100);
+    // Every try has an id of its own; tries of one request share their key.
+    let mut ids: Vec<&String> = came.iter().map(|(id, _)| id).collect();
+    ids.sort();
+    ids.dedup();
+    assert_eq!(ids.len(), came.len());
+    let mut keys: HashMap<&String, usize> = HashMap::new();
+    came.iter().filter_map(|(_, key)| key.as_ref()).for_each(|key| *keys.entry(key).or_default() += 1);
+    assert!(!keys.is_empty() && keys.values().any(|tries| *tries > 1));
+}
+
+#[test]
+fn an_address_that_is_not_on_loopback_is_refused() {
+    let parts = || vec![part("lookup", 1.0, false)];
+    let other = "192.0.2.1:80".parse().expect("an address");
+    let error = Target::new(vec!["127.0.0.1:1".parse().expect("an address"), other], parts(), 1)
+        .expect_err("refused");
+    assert!(error.contains("192.0.2.1:80 is not on loopback"), "{error}");
+    assert!(Target::new(Vec::new(), parts(), 1).is_err());
+}
