Lab: stand-in engines and directory on sockets, and a trial by one command

Need: a newcomer could not start the program: it wants a configuration and engines that the repository did not have. Change: dahliaspoke-lab try starts engines of the model in real time, a DNS directory, two real coordinators and open-loop load; an engine and a coordinator are killed in the middle and come back.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`world`]: clients, coordinators, the network, the list, troubles;
 //! - [`audit`]: the rules; [`scenario`]: what is played; [`report`]: what it came to;
 //! - [`experiment`]: many runs, compared;
+//! - [`standin`]: engines and the directory on sockets; [`trial`]: all of it at once;
 //! - [`arrivals`], [`load`] and [`sockets`]: the load tool, for real coordinators on loopback.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -24,6 +25,8 @@
 pub mod report;
 pub mod scenario;
 pub mod sockets;
+pub mod standin;
+pub mod trial;
 pub mod world;
 
 /// A point in virtual time, or a span of it (us).
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,6 +8,7 @@
 use dahliaspoke_lab::report::Report;
 use dahliaspoke_lab::scenario::Scenario;
 use dahliaspoke_lab::sockets::{self, Part, Target};
+use dahliaspoke_lab::trial;
 use dahliaspoke_lab::world;
 use indicatif::ProgressBar;
 use std::net::SocketAddr;
@@ -58,6 +59,22 @@
         #[arg(long)]
         jobs: Option<usize>,
     },
+    /// Starts engines, a directory and two coordinators, sends load, kills an engine and a coordinator in the middle,
+    /// and prints a table.
+    ///
+    /// Example: dahliaspoke-lab try --seconds 20
+    #[command(verbatim_doc_comment)]
+    Try {
+        /// How long (s).
+        #[arg(long, default_value = "20")]
+        seconds: f64,
+        /// Share of what all engines do.
+        #[arg(long, default_value = "0.7")]
+        load: f64,
+        /// The draw.
+        #[arg(long, default_value = "1")]
+        seed: u64,
+    },
     /// Sends an open stream of requests to coordinators on loopback.
     ///
     /// Example: dahliaspoke-lab load --to 127.0.0.1:5050 --rate 200 --shape spike --class lookup:12:3000:100
@@ -123,6 +140,15 @@
             }
             Err(message) => fault(&message),
         },
+        Command::Try { seconds, load, seed } => {
+            match trial::play(seconds, load, seed, |line| println!("{line}")) {
+                Ok(outcome) => {
+                    print!("\n{}", trial::table(&outcome));
+                    ExitCode::from(if outcome.summary.void { 3 } else { 0 })
+                }
+                Err(message) => fault(&message),
+            }
+        }
         Command::Load { to, rate, seconds, shape, gaps, class, manner, connections, closed, seed } => {
             let target = match Target::new(to, class, seed) {
                 Ok(target) => target,
