Lab: the load tool counts by class

Change: the driver counts requests, answers and times by class as well; the trial's table shows them. Measured: against the stand-in the classes add up to the whole in due, served, refused and failed.

--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -63,9 +63,45 @@
     over: bool,
 }
 
+/// Requests of one class.
+#[derive(Debug, Serialize)]
+pub struct Group {
+    /// Its name.
+    pub name: String,
+    /// Requests that were due.
+    pub due: usize,
+    /// Of those, served.
+    pub served: usize,
+    /// Turned away at last.
+    pub refused: usize,
+    /// Failed, or without an answer at the end.
+    pub failed: usize,
+    /// Quantiles of the time to the end of the served ones (ms): 0.5, 0.9, 0.99, 0.999, the longest.
+    pub millis: [f64; 5],
+}
+
+/// Times of those that were served.
+struct Times(Histogram<u64>);
+
+impl Times {
+    fn new() -> Self {
+        // Up to an hour, in microseconds, to three digits.
+        Self(
+            Histogram::new_with_max(3_600_000_000, 3).unwrap_or_else(|_| unreachable!("the bounds are good")),
+        )
+    }
+
+    fn millis(&self) -> [f64; 5] {
+        let at = |q: f64| seconds(self.0.value_at_quantile(q)) * 1000.0;
+        [at(0.5), at(0.9), at(0.99), at(0.999), seconds(self.0.max()) * 1000.0]
+    }
+}
+
 /// What a run came to.
 #[derive(Debug, Serialize)]
 pub struct Summary {
+    /// By class, where there are several.
+    pub groups: Vec<Group>,
     /// Requests that were due; each counts once, however often it was tried.
     pub due: usize,
     /// Of those, served.
@@ -102,7 +138,11 @@
     later: Vec<(Micros, usize)>,
     free: Vec<usize>,
     open: usize,
-    times: Histogram<u64>,
+    times: Times,
+    /// By class: its figures and times.
+    groups: Vec<(Group, Times)>,
+    /// The class of each request.
+    of: Vec<usize>,
     summary: Summary,
     /// A connection has been free at all times since then.
     free_since: Micros,
@@ -113,6 +153,7 @@
     pub fn new(schedule: &[Micros], mode: Mode, manner: Manner, connections: usize) -> Self {
         let requests = schedule.iter().map(|due| Request { due: *due, tries: 0, over: false }).collect();
         let summary = Summary {
+            groups: Vec::new(),
             due: schedule.len(),
             served: 0,
             refused: 0,
@@ -124,9 +165,6 @@
             void: false,
             starved: 0,
         };
-        // Up to an hour, in microseconds, to three digits.
-        let times =
-            Histogram::new_with_max(3_600_000_000, 3).unwrap_or_else(|_| unreachable!("the bounds are good"));
         Self {
             mode,
             manner,
@@ -137,12 +175,23 @@
             later: Vec::new(),
             free: (0..connections).rev().collect(),
             open: 0,
-            times,
+            times: Times::new(),
+            groups: Vec::new(),
+            of: Vec::new(),
             summary,
             free_since: 0,
         }
     }
 
+    /// Counts by class as well: names, and the class of each request by position.
+    pub fn by_class(mut self, names: Vec<String>, of: Vec<usize>) -> Self {
+        let empty = |name| Group { name, due: 0, served: 0, refused: 0, failed: 0, millis: [0.0; 5] };
+        self.groups = names.into_iter().map(|name| (empty(name), Times::new())).collect();
+        of.iter().for_each(|class| self.groups[*class].0.due += 1);
+        self.of = of;
+        self
+    }
+
     /// When something is due next by itself.
     pub fn next(&self) -> Option<Micros> {
         let due = self.requests.get(self.next).map(|r| r.due);
@@ -202,14 +251,25 @@
         match ending {
             Ending::Served => {
                 self.summary.served += 1;
-                self.times.saturating_record(now - state.due);
+                self.times.0.saturating_record(now - state.due);
+                if let Some((group, times)) =
+                    self.of.get(order.request).and_then(|at| self.groups.get_mut(*at))
+                {
+                    group.served += 1;
+                    times.0.saturating_record(now - state.due);
+                }
             }
             Ending::Refused(wait) if self.manner != Manner::GiveUp && state.tries < self.most_tries => {
                 state.over = false;
                 let pause = if self.manner == Manner::AtOnce { 0 } else { wait.unwrap_or(UNTOLD) };
                 self.later.push((now + pause, order.request));
             }
-            Ending::Refused(_) => self.summary.refused += 1,
+            Ending::Refused(_) => {
+                self.summary.refused += 1;
+                if let Some((group, _)) = self.of.get(order.request).and_then(|at| self.groups.get_mut(*at)) {
+                    group.refused += 1;
+                }
+            }
             Ending::Failed => self.summary.failed += 1,
         }
     }
@@ -218,8 +278,13 @@
     pub fn summary(mut self) -> Summary {
         let ended = self.summary.served + self.summary.refused + self.summary.failed;
         self.summary.failed += self.summary.due - ended;
-        let at = |q: f64| seconds(self.times.value_at_quantile(q)) * 1000.0;
-        self.summary.millis = [at(0.5), at(0.9), at(0.99), at(0.999), seconds(self.times.max()) * 1000.0];
+        self.summary.millis = self.times.millis();
+        let close = |(group, times): (Group, Times)| Group {
+            failed: group.due - group.served - group.refused,
+            millis: times.millis(),
+            ..group
+        };
+        self.summary.groups = self.groups.into_iter().map(close).collect();
         let open = self.mode == Mode::Open;
         self.summary.void = 1000 * self.summary.late > self.summary.due || open && self.summary.starved > 0;
         self.summary
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand};
 use dahliaspoke_lab::arrivals::{schedule, Gaps, Shape};
 use dahliaspoke_lab::experiment::Experiment;
-use dahliaspoke_lab::load::{Driver, Manner, Mode};
+use dahliaspoke_lab::load::{Manner, Mode};
 use dahliaspoke_lab::policy::Kind;
 use dahliaspoke_lab::report::Report;
 use dahliaspoke_lab::scenario::Scenario;
@@ -156,7 +156,7 @@
             };
             let points = schedule(rate, seconds, shape, gaps, seed);
             let mode = if closed { Mode::Closed } else { Mode::Open };
-            let driver = Driver::new(&points, mode, manner, connections);
+            let driver = target.driver(&points, mode, manner, connections);
             let summary = sockets::run(driver, &target, Duration::from_secs(30)).summary();
             println!("{}", serde_json::json!(summary));
             ExitCode::from(if summary.void { 3 } else { 0 })
--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -1,7 +1,7 @@
 //! The load tool on sockets: the driver's orders to a coordinator's HTTP door. Loopback only, by construction: any
 //! other address is refused before a byte goes out.
 
-use crate::load::{Driver, Ending, Order};
+use crate::load::{Driver, Ending, Manner, Mode, Order};
 use crate::Micros;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -47,16 +47,32 @@
         Ok(Self { to, parts, seed })
     }
 
-    /// The bytes of a try: its id is new, its key that of the request.
-    fn call(&self, order: Order) -> Vec<u8> {
-        let draw = mix(self.seed ^ order.request as u64);
+    /// Names of the classes.
+    pub fn names(&self) -> Vec<String> {
+        self.parts.iter().map(|part| part.class.clone()).collect()
+    }
+
+    /// The class of a request, by position.
+    pub fn class_of(&self, request: usize) -> usize {
         let all: f64 = self.parts.iter().map(|p| p.share).sum();
-        let mut at = (draw >> 11) as f64 / (1u64 << 53) as f64 * all;
-        let part = self.parts.iter().find(|part| {
+        let mut at = (mix(self.seed ^ request as u64) >> 11) as f64 / (1u64 << 53) as f64 * all;
+        let part = self.parts.iter().position(|part| {
             at -= part.share;
             at < 0.0
         });
-        let part = part.unwrap_or(&self.parts[0]);
+        part.unwrap_or_default()
+    }
+
+    /// A driver for that schedule which counts by class.
+    pub fn driver(&self, points: &[Micros], mode: Mode, manner: Manner, connections: usize) -> Driver {
+        let of = (0..points.len()).map(|request| self.class_of(request)).collect();
+        Driver::new(points, mode, manner, connections).by_class(self.names(), of)
+    }
+
+    /// The bytes of a try: its id is new, its key that of the request.
+    fn call(&self, order: Order) -> Vec<u8> {
+        let draw = mix(self.seed ^ order.request as u64);
+        let part = &self.parts[self.class_of(order.request)];
         let group = mix(draw) % 16;
         let verb = if part.keyed { "INSERT INTO" } else { "SELECT n FROM" };
         let body = format!("{verb} sales_{group}.orders /* {} */", order.request);
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -2,7 +2,7 @@
 //! at the end. It starts from nothing and leaves nothing.
 
 use crate::arrivals::{schedule, Gaps, Shape};
-use crate::load::{Driver, Manner, Mode, Summary};
+use crate::load::{Manner, Mode, Summary};
 use crate::scenario::Scenario;
 use crate::sockets::{run, Part, Target};
 use crate::standin::{Directory, Served, Told};
@@ -170,7 +170,7 @@
     let rate = load * ENGINES as f64 * CORES * 1000.0 / mean;
     let points = schedule(rate, seconds, Shape::Steady, Gaps::Poisson, seed);
     let target = Target::new(vec![first.address, second.address], parts, seed)?;
-    let driver = Driver::new(&points, Mode::Open, Manner::AsTold, 600);
+    let driver = target.driver(&points, Mode::Open, Manner::AsTold, 600);
     let listen = second.address.to_string();
     let driver = std::thread::scope(|scope| {
         let trouble = scope.spawn(|| {
@@ -212,6 +212,17 @@
     {
         text += &format!("{name:<28}{:>8.0}  ms, from when they were due\n", s.millis[at]);
     }
+    for g in &s.groups {
+        let [half, _, most, ..] = g.millis;
+        text += &format!(
+            "{:<28}{:>8}  served {}, turned away {}, failed {}; half within {half:.0} ms, 99% within {most:.0} ms\n",
+            format!("of them {}", g.name),
+            g.due,
+            g.served,
+            g.refused,
+            g.failed
+        );
+    }
     for (id, served) in &outcome.served {
         text += &format!("{:<28}{served:>8}\n", format!("answered by {id}"));
     }
--- a/crates/lab/tests/sockets.rs
+++ b/crates/lab/tests/sockets.rs
@@ -2,7 +2,7 @@
 //! takes.
 
 use dahliaspoke_lab::arrivals::{schedule, Gaps, Shape};
-use dahliaspoke_lab::load::{Driver, Manner, Mode};
+use dahliaspoke_lab::load::{Group, Manner, Mode};
 use dahliaspoke_lab::sockets::{run, Part, Target};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -68,13 +68,17 @@
     let parts = vec![part("lookup", 3.0, false), part("load", 1.0, true)];
     let target = Target::new(vec![address], parts, 7).expect("loopback");
     let points = schedule(1000.0, 1.0, Shape::Steady, Gaps::Poisson, 1);
-    let driver = Driver::new(&points, Mode::Open, Manner::AsTold, 400);
+    let driver = target.driver(&points, Mode::Open, Manner::AsTold, 400);
     let summary = run(driver, &target, Duration::from_secs(20)).summary();
     let came = came.lock().expect("held");
     assert_eq!(summary.due, points.len());
     assert_eq!(summary.served + summary.refused + summary.failed, summary.due);
     assert_eq!(summary.tries, came.len(), "each try reached it once");
     assert_eq!(summary.failed, came.len() / 100);
+    let sum = |of: fn(&Group) -> usize| summary.groups.iter().map(of).sum::<usize>();
+    let all = [summary.due, summary.served, summary.refused, summary.failed];
+    assert_eq!([sum(|g| g.due), sum(|g| g.served), sum(|g| g.refused), sum(|g| g.failed)], all, "by class");
+    assert!(summary.groups.iter().all(|g| g.due > 100), "both classes came");
     // Every try has an id of its own; tries of one request share their key.
     let mut ids: Vec<&String> = came.iter().map(|(id, _)| id).collect();
     ids.sort();
