--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -228,6 +228,9 @@
             let key = |r: &Row| (r.policy as u8, r.seed);
             a.value.total_cmp(&b.value).then(key(a).cmp(&key(b)))
         });
+        // In their order, whichever ended first.
+        let mut file = File::create(&path).map_err(told)?;
+        rows.iter().try_for_each(|row| write_row(&mut file, row)).map_err(told)?;
         std::fs::write(folder.join("rows.csv"), csv(&rows)).map_err(told)?;
         self.plot(&folder.join("plot.svg"), &rows).map_err(|e| format!("plot: {e}"))?;
         let text = self.result(&rows);
@@ -316,7 +319,12 @@
             let bars = own.iter().map(|p| PathElement::new([(p.0, p.1 - p.2), (p.0, p.1 + p.2)], color));
             chart.draw_series(bars)?;
         }
-        chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::LowerLeft)
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK)
+            .draw()?;
         area.present()?;
         Ok(())
     }
