A kept body's time runs from its last byte, not from when the disk had it

Cause: found by reading: the deadline was set when the spool said that a body is kept, up to disk_hangs_ms after its last byte, while the platform counts from that byte. Change: the door and the MySQL session note when the last byte came. Not shown by a test: the program has no seam for a slow disk, and loopback files take a millisecond.

--- a/src/front/mysql/large.rs
+++ b/src/front/mysql/large.rs
@@ -40,8 +40,9 @@
 /// A request that is whole, as soon as what the spool has of it is kept.
 pub struct Pending {
     ask: Box<Ask>,
-    /// How long its client waits (s).
+    /// How long its client waits (s), from when its last byte came.
     time: f64,
+    since: Time,
     missing: Vec<BodyId>,
 }
 
@@ -381,14 +382,14 @@
                 missing.push(body.id());
             }
         }
-        self.pending = Some(Pending { ask, time, missing });
-        self.go(now, shared)
+        self.pending = Some(Pending { ask, time, since: now, missing });
+        self.go(shared)
     }
 
-    fn go(&mut self, now: Time, shared: &mut Shared) -> Flow {
+    fn go(&mut self, shared: &mut Shared) -> Flow {
         if self.pending.as_ref().is_some_and(|pending| pending.missing.is_empty()) {
             if let Some(pending) = self.pending.take() {
-                self.hand_on(now, *pending.ask, pending.time, shared);
+                self.hand_on(pending.since, *pending.ask, pending.time, shared);
             }
         }
         Flow::Open
@@ -502,7 +503,7 @@
                 if !self.parameters.values().any(|p| matches!(p, Parameter::Spool(b) if b.id() == body)) {
                     shared.uploads.remove(&body);
                 }
-                self.go(now, shared)
+                self.go(shared)
             }
             Wake::Lost(_) | Wake::Passed(_) => self.lost(now, body, shared),
             Wake::Spent(_) | Wake::Data(_) => Flow::Open,
--- a/src/front/platform/upload.rs
+++ b/src/front/platform/upload.rs
@@ -22,6 +22,8 @@
     text: Text,
     /// All of it must be here by then.
     by: Time,
+    /// When its last byte came: its request's time runs from there, however long the disk then takes.
+    whole: Option<Time>,
     /// It is not kept, but passed on.
     passed: bool,
     /// There is no room for more of it now.
@@ -102,7 +104,7 @@
         self.until = by.min(now + limits.stall);
         let (head, text) = (Vec::new(), Text::default());
         let (passed, full) = (tier == Tier::Passed, false);
-        self.upload = Some(Upload { told, body, left: length, head, text, by, passed, full });
+        self.upload = Some(Upload { told, body, left: length, head, text, by, whole: None, passed, full });
         Ok(Flow::Open)
     }
 
@@ -135,6 +137,9 @@
             upload.left -= count;
             self.until = upload.by.min(now + shared.desk.limits.stall);
         }
+        if upload.left == 0 {
+            upload.whole.get_or_insert(now);
+        }
         if upload.left == 0 && !upload.text.open.is_empty() {
             return self.bad(now, 400, shared);
         }
@@ -163,7 +168,8 @@
         if shared.desk.is_open(&upload.told.id) {
             return self.bad(now, 400, shared);
         }
-        let mut ask = upload.told.ask(now, sql::tables(upload.start()), shared);
+        let since = upload.whole.unwrap_or(now);
+        let mut ask = upload.told.ask(since, sql::tables(upload.start()), shared);
         ask.uploading = uploading;
         ask.work.body = Some(upload.body.clone());
         self.ask(ask, shared);
