One piece of code for what the bodies and the lab had written twice

Need: reading the whole change again. Behaviour is as it was and the tests keep their assertions. Change: Spool::take_in has the loop that stood twice in the MySQL session; packet::header reads a packet's length in one place of three; a plan's no for want of room and a failed write's slot each have one place; the lab reads its TOML files by one function, and reads its own program only when rows are named by it. Two wrappers that did nothing are gone. Left: Mortal in the lab's stand-ins and in tests/standin are twins until the lab's stand-in engine takes the place of the hand-made ones.

--- a/crates/bodies/src/plan.rs
+++ b/crates/bodies/src/plan.rs
@@ -224,8 +224,7 @@
         } else if self.has(PASSED) && pass {
             Tier::Passed
         } else {
-            self.figures[class].refused += 1;
-            return Err(Refusal::NoRoom);
+            return Err(self.no_room(class));
         };
         Ok((self.hold(class, length, deadline, tier), tier))
     }
@@ -243,6 +242,11 @@
         self.last
     }
 
+    fn no_room(&mut self, class: usize) -> Refusal {
+        self.figures[class].refused += 1;
+        Refusal::NoRoom
+    }
+
     /// Whether an arrival may have a window of so many chunks.
     fn has(&self, chunks: usize) -> bool {
         let most = (ARRIVALS * self.rules.chunks as f64) as usize;
@@ -290,10 +294,7 @@
         let tier = match filed {
             true => Tier::File,
             false if self.fits(Tier::Memory, class, length) => Tier::Memory,
-            false => {
-                self.figures[class].refused += 1;
-                return Err(Refusal::NoRoom);
-            }
+            false => return Err(self.no_room(class)),
         };
         let id = self.hold(class, length, deadline, tier);
         if let Some(held) = self.held.get_mut(&id) {
@@ -316,8 +317,7 @@
             return Err(Refusal::TooLarge);
         }
         if !self.fits(tier, class, length - had) {
-            self.figures[class].refused += 1;
-            return Err(Refusal::NoRoom);
+            return Err(self.no_room(class));
         }
         self.resize(id, length);
         Ok(length)
--- a/crates/bodies/src/spool.rs
+++ b/crates/bodies/src/spool.rs
@@ -448,6 +448,20 @@
         self.contents.get(&id).map_or(0, |content| content.came)
     }
 
+    /// Takes as many of the next bytes of a body as there is room for: how many.
+    pub fn take_in(&mut self, now: f64, id: BodyId, bytes: &[u8]) -> usize {
+        let mut taken = 0;
+        while taken < bytes.len() {
+            let room = self.room(id).min(bytes.len() - taken);
+            if room == 0 {
+                break;
+            }
+            self.push(now, id, &bytes[taken..taken + room]);
+            taken += room;
+        }
+        taken
+    }
+
     /// Takes the next bytes of a body, [`Spool::room`] of them at most.
     pub fn push(&mut self, now: f64, id: BodyId, mut bytes: &[u8]) {
         while !bytes.is_empty() {
@@ -710,21 +724,15 @@
                 false => State::Memory(bytes.clone()),
             };
         }
-        if held.moving {
-            if !done {
-                self.give_back(now, id, vec![slot]);
-            }
-            if settled {
-                self.moved(now, id);
-            }
-            return;
-        }
         let (unwritable, lost, whole) = (content.unwritable, content.lost, content.is_whole());
-        let coming = held.tier == Tier::File && !held.whole && !lost;
+        let (moving, coming) = (held.moving, held.tier == Tier::File && !held.whole && !lost);
         if !done {
             self.give_back(now, id, vec![slot]);
         }
-        if !coming {
+        if moving && settled {
+            self.moved(now, id);
+        }
+        if moving || !coming {
             return;
         }
         if unwritable {
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -142,20 +142,16 @@
     /// # Errors
     /// Where it is none, or one of its scenarios is none.
     pub fn read(text: &str) -> Result<Self, String> {
-        let line = |at: usize| 1 + text.bytes().take(at).filter(|b| *b == b'\n').count();
-        let experiment: Self = toml::from_str(text).map_err(|e| {
-            let at = e.span().map_or(0, |span| span.start);
-            format!("line {}: {}", line(at), e.message().split('\n').next().unwrap_or_default())
-        })?;
-        experiment.plays()?;
+        let experiment: Self = crate::from_toml(text)?;
+        experiment.plays(0)?; // only whether each is one
         if !experiment.policies.contains(&experiment.baseline) {
             return Err("baseline: it is not among the policies".into());
         }
         Ok(experiment)
     }
 
-    fn plays(&self) -> Result<Vec<Play>, String> {
-        let (mut plays, program) = (Vec::new(), program());
+    fn plays(&self, program: u64) -> Result<Vec<Play>, String> {
+        let mut plays = Vec::new();
         for value in &self.vary.values {
             let number = match value {
                 toml::Value::Integer(number) => *number as f64,
@@ -192,7 +188,7 @@
         std::fs::create_dir_all(folder).map_err(told)?;
         let path = folder.join("rows.jsonl");
         let mut rows = read_rows(&path);
-        let plays = self.plays()?;
+        let plays = self.plays(program())?;
         let is =
             |row: &Row, play: &Play| (row.play, row.policy, row.seed) == (play.id, play.policy, play.seed);
         rows.retain(|row| plays.iter().any(|play| is(row, play)));
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -32,6 +32,18 @@
 /// A point in virtual time, or a span of it (us).
 pub type Micros = u64;
 
+/// Reads a TOML text.
+///
+/// # Errors
+/// Where it is none of that kind, in one line that names the line at fault.
+pub fn from_toml<T: serde::de::DeserializeOwned>(text: &str) -> Result<T, String> {
+    toml::from_str(text).map_err(|e| {
+        let at = e.span().map_or(0, |span| span.start);
+        let line = 1 + text.bytes().take(at).filter(|b| *b == b'\n').count();
+        format!("line {line}: {}", e.message().split('\n').next().unwrap_or_default())
+    })
+}
+
 /// Seconds as microseconds.
 pub fn micros(seconds: f64) -> Micros {
     (seconds.max(0.0) * 1e6).round() as Micros
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -1,6 +1,5 @@
 //! Who decides. All are driven alike: told events, they append actions.
 
-use crate::Micros;
 use dahliaspoke::choice::Gateway;
 use dahliaspoke::interface::*;
 use rand_core::{RngCore, SeedableRng};
@@ -204,8 +203,3 @@
         }
     }
 }
-
-/// A point in virtual time as decisions have it (s).
-pub fn clock(now: Micros) -> f64 {
-    crate::seconds(now)
-}
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -272,11 +272,7 @@
     /// # Errors
     /// Where it is none, with the line.
     pub fn read(text: &str) -> Result<Self, String> {
-        let line = |at: usize| 1 + text.bytes().take(at).filter(|b| *b == b'\n').count();
-        let scenario: Self = toml::from_str(text).map_err(|e| {
-            let at = e.span().map_or(0, |span| span.start);
-            format!("line {}: {}", line(at), e.message().split('\n').next().unwrap_or_default())
-        })?;
+        let scenario: Self = crate::from_toml(text)?;
         scenario.check()?;
         Ok(scenario)
     }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -281,7 +281,7 @@
             Happens::Comes { coordinator } => self.comes(coordinator),
             Happens::Tries { request } => self.client_tries(request),
             Happens::Reaches { tag } => self.reaches(tag),
-            Happens::Returns { tag, outcome } => self.returns(tag, outcome),
+            Happens::Returns { tag, outcome } => self.finish(tag, outcome),
             Happens::TimesOut { tag } => {
                 if self.attempts[tag as usize].out {
                     self.call_off(tag);
@@ -475,7 +475,7 @@
         self.feed.push_back(event);
         while let Some(event) = self.feed.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
-            let now = policy::clock(self.now);
+            let now = seconds(self.now);
             self.coordinators[coordinator].policy.handle(now, event, &self.truth, &mut actions);
             for action in actions.drain(..) {
                 self.act(coordinator, action);
@@ -755,10 +755,6 @@
         self.step(engine);
     }
 
-    fn returns(&mut self, tag: u64, outcome: Outcome) {
-        self.finish(tag, outcome);
-    }
-
     fn notes(&mut self) {
         self.queue.push(self.now + micros(self.scenario.note_ms / 1000.0), Happens::Notes);
         for engine in 0..self.engines.len() {
@@ -791,7 +787,7 @@
         self.down(engine); // whatever was left
         self.engines[engine].restart(self.now);
         self.engines[engine].neighbour = 0.0;
-        let started = Some(policy::clock(self.now));
+        let started = Some(seconds(self.now));
         self.entries[engine] =
             EngineEntry { lifecycle: Lifecycle::Ready, started, ..self.entries[engine].clone() };
         self.spread(engine, 0.0);
--- a/src/front/mysql/large.rs
+++ b/src/front/mysql/large.rs
@@ -123,10 +123,8 @@
 
     /// Length and number of the packet at the start of the input, if it is one that does not come at once.
     pub fn large_packet(&self, shared: &Shared) -> Option<(usize, u8)> {
-        let header = self.channel.input.get(..packet::HEADER)?;
-        let length = u32::from_le_bytes([header[0], header[1], header[2], 0]) as usize;
         let limits = &shared.desk.limits;
-        (limits.large > 0 && length > limits.body).then_some((length, header[3]))
+        packet::header(&self.channel.input).filter(|(length, _)| limits.large > 0 && *length > limits.body)
     }
 
     /// Begins to take a payload whose first packet is that large; nothing while its beginning is not here.
@@ -284,13 +282,12 @@
                 return Flow::Open;
             }
             if large.goes_on {
-                let Some(header) = self.channel.input.get(..packet::HEADER) else {
+                let Some((length, sequence)) = packet::header(&self.channel.input) else {
                     self.large = Some(large);
                     return Flow::Open;
                 };
-                large.left = u32::from_le_bytes([header[0], header[1], header[2], 0]) as usize;
-                large.goes_on = large.left == SPLIT;
-                self.answer_from = header[3].wrapping_add(1);
+                (large.left, large.goes_on) = (length, length == SPLIT);
+                self.answer_from = sequence.wrapping_add(1);
                 self.channel.input.drain(..packet::HEADER);
                 self.large = Some(large);
                 continue;
@@ -307,18 +304,9 @@
             Target::Parameter(id, at) => Ok(self.put(now, (*id, *at), bytes, shared)),
             Target::Request { body, values, .. } => {
                 let Some(spool) = &shared.spool else { return Ok(bytes.len()) };
-                let mut taken = 0;
-                while taken < bytes.len() {
-                    let room = spool.borrow_mut().room(body.id()).min(bytes.len() - taken);
-                    if room == 0 {
-                        break;
-                    }
-                    let part = &bytes[taken..taken + room];
-                    if let Some(values) = values {
-                        values.go_on(part)?;
-                    }
-                    spool.borrow_mut().push(now, body.id(), part);
-                    taken += room;
+                let taken = spool.borrow_mut().take_in(now, body.id(), bytes);
+                if let Some(values) = values {
+                    values.go_on(&bytes[..taken])?;
                 }
                 Ok(taken)
             }
@@ -435,15 +423,7 @@
             };
         }
         let Parameter::Spool(body) = held else { return bytes.len() };
-        let mut taken = 0;
-        while taken < bytes.len() {
-            let room = spool.borrow_mut().room(body.id()).min(bytes.len() - taken);
-            if room == 0 {
-                break;
-            }
-            spool.borrow_mut().push(now, body.id(), &bytes[taken..taken + room]);
-            taken += room;
-        }
+        let taken = spool.borrow_mut().take_in(now, body.id(), bytes);
         taken
     }
 
--- a/src/mysql/packet.rs
+++ b/src/mysql/packet.rs
@@ -58,15 +58,20 @@
     out
 }
 
+/// Length and number of the packet at the start of the input, once its header is here.
+pub fn header(input: &[u8]) -> Option<(usize, u8)> {
+    let header = input.get(..HEADER)?;
+    Some((u32::from_le_bytes([header[0], header[1], header[2], 0]) as usize, header[3]))
+}
+
 /// The packet at the start of the input: sequence number, payload and the bytes it took.
 pub fn read(input: &[u8], most: usize) -> Res<Option<(u8, &[u8], usize)>> {
-    let Some(header) = input.get(..HEADER) else { return Ok(None) };
-    let length = u32::from_le_bytes([header[0], header[1], header[2], 0]) as usize;
+    let Some((length, sequence)) = header(input) else { return Ok(None) };
     if length > most.min(SPLIT - 1) {
         return Err(Malformed);
     }
     let end = HEADER + length;
-    Ok(input.get(HEADER..end).map(|payload| (header[3], payload, end)))
+    Ok(input.get(HEADER..end).map(|payload| (sequence, payload, end)))
 }
 
 /// Reads values off a payload.
