Each gateway keeps to a few engines, mostly of its own zone, by the settings' prices

Cause: src/choice.rs pick drew from all engines alike. A gateway with 5.6 requests a second heard of each every 5 s. Change: each gateway has an order of engines of its own, its zone first, and a new connection past the tenth place, or a send to another zone, weighs less in the draw, by the price that the settings tell. Turns at cold engines that come seldom are taken wherever they are. Where few gateways share the engines, the order reaches all of them. Without it the three tests fail.

--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -7,7 +7,7 @@
 /// Seconds of a window.
 const WINDOW: f64 = 10.0;
 /// Price of a send to another hall, of work for nobody, of a new connection.
-const PRICES: (f64, f64, f64) = (0.038, 0.16, 0.03);
+pub const PRICES: (f64, f64, f64) = (0.038, 0.16, 0.03);
 
 /// Requests of one class.
 #[derive(Clone, Debug, Default, Serialize)]
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -1,6 +1,7 @@
 //! What is played: sizes, traffic, network, troubles. Every value has a default, so a file names what differs.
 
 use crate::engine::Spec;
+use crate::report::PRICES;
 use dahliaspoke::interface::*;
 use serde::Deserialize;
 
@@ -343,6 +344,8 @@
             gateways: self.coordinators as f64,
             number: number as f64,
             zone: hall(number % self.halls),
+            cross_price: 0.0,
+            handshake_price: 0.0,
             must_subscribe: false,
             may_cancel: true,
             may_copy: true,
--- a/examples/dispatcher.rs
+++ b/examples/dispatcher.rs
@@ -168,6 +168,8 @@
         gateways: 1.0,
         number: 0.0,
         zone: "here".into(),
+        cross_price: 0.0,
+        handshake_price: 0.0,
         must_subscribe: true,
         may_cancel: true,
         may_copy: false,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,6 +49,12 @@
 const PATIENCE_AIMS: f64 = 4.0; // time-out (aims) where abandoned work runs on and a repeat doubles it
 const COME_BACK_AIMS: f64 = 0.25; // come-back time (aims), jittered by half either way
 const TICK: f64 = 0.1; // housekeeping (s): how soon silence is seen
+const KNOWS: f64 = 10.0; // engines that a gateway keeps to, at least
+const KNOWN_BY: f64 = 20.0; // gateways that keep to an engine, at least
+const KEPT: f64 = 10.0; // for which a connection that was used is there (s)
+const NEW_PRICED: f64 = 50.0; // how much a new connection's price counts in the draw (exponent)
+const AWAY_PRICED: f64 = 25.0; // the same of a send to another zone; less, as zones are loaded unequally
+const RARE: f64 = 3.0; // urge to a cold engine from which on prices do not count
 const HELD_TABLES: f64 = 0.05; // draw weight where a load seems to hold the query's tables
 const HOLDS_FOR: f64 = 0.5; // of a middling load's time, for which a note of one that holds is believed
 const STALL_TIMES: f64 = 1.5; // expected delays after which a reader seems to stand still
@@ -154,6 +160,8 @@
     listed: bool,
     cores: f64,
     memory: f64, // MB; infinite where it is not told
+    place: f64,  // in this gateway's order of preference, 1 more in other zones
+    used: f64,   // when an attempt was last sent there
     started: f64,
     unreached: f64,
     cold_spent_until: f64,
@@ -302,15 +310,15 @@
             Event::Noted { id, attempt, note } => self.on_note(now, &id, attempt, note, out),
             Event::ClientLeft { id } => {
                 if let Some(&number) = self.numbers.get(&id) {
-                    self.close(now, number, out);
+                    self.close(number, out);
                 }
             }
             Event::Timer(TICK_TOKEN) => self.on_tick(now, out),
             Event::Timer(LIST_TOKEN) => out.push(Action::Subscribe),
-            Event::Timer(number) => self.give_up(now, number, out), // its time is up
+            Event::Timer(number) => self.give_up(number, out), // its time is up
             Event::Ending => {
                 let open: Vec<u64> = self.requests.keys().copied().collect();
-                open.into_iter().for_each(|number| self.give_up(now, number, out));
+                open.into_iter().for_each(|number| self.give_up(number, out));
             }
         }
         self.advance(now, out);
@@ -325,20 +333,22 @@
     // ---- Following the list ----
 
     fn on_list(&mut self, now: f64, scope: Scope, entries: Vec<EngineEntry>) {
-        if scope != Scope::Changes {
-            for engine in self.engines.values_mut() {
-                engine.listed = false;
-            }
-        }
+        self.engines.values_mut().for_each(|engine| engine.listed &= scope == Scope::Changes);
         for entry in entries {
             let kind = self.settings.kinds.iter().find(|k| *k.name == *entry.kind);
             let cores = kind.map_or(1.0, |k| k.cores.max(1.0));
             let memory = kind.map(|k| k.memory).filter(|mb| *mb > 0.0).unwrap_or(f64::INFINITY);
             let start = starting_bound(&self.settings, cores);
             let started = entry.started.unwrap_or(f64::NEG_INFINITY);
+            // A draw of its own for each pair: the gateways' orders have nothing in common.
+            let mix = |sum: u64, byte: u8| sum.wrapping_mul(0x100_0000_01b3) ^ u64::from(byte);
+            let seed = entry.id.bytes().fold(self.settings.number as u64, mix);
+            let away = f64::from(u8::from(*entry.zone != *self.settings.zone));
             let fresh = || Engine {
                 cores,
                 memory,
+                place: uniform(&mut Pcg64Mcg::seed_from_u64(seed)) + away,
+                used: f64::NEG_INFINITY,
                 bound: start,
                 warmth: 1.0,
                 started: f64::NEG_INFINITY,
@@ -377,9 +387,7 @@
     fn on_query(&mut self, now: f64, query: Query, out: &mut Out) {
         let number = self.next_number;
         self.next_number += 1;
-        if self.settings.retry_budget.is_some() {
-            self.taken.push(now);
-        }
+        self.taken.extend(self.settings.retry_budget.map(|_| now));
         let cost = self.estimate(&query);
         let over_share = self.is_over_share(now, query.tenant);
         self.classes[query.class].demand += cost / LATELY;
@@ -392,7 +400,7 @@
         self.requests.insert(number, request);
         let margin = 2.0 * self.settings.tick;
         if left <= margin {
-            return self.give_up(now, number, out);
+            return self.give_up(number, out);
         }
         out.push(Action::SetTimer { after: left - margin, token: number });
         self.dispatch(now, number, out);
@@ -447,7 +455,7 @@
             let class = request.query.class;
             // A follower that cannot be served in time is told at once.
             if left < self.usual_sigma(class) * (ahead as f64 + 1.0) {
-                return self.give_up(now, number, out);
+                return self.give_up(number, out);
             }
             self.held.insert(number);
             return;
@@ -457,7 +465,7 @@
             None => {
                 // A query turned away made full use of the bounds, whatever the backlog was.
                 self.turned_away = true;
-                self.give_up(now, number, out)
+                self.give_up(number, out)
             }
         }
     }
@@ -484,6 +492,7 @@
         let late = now - (request.deadline - request.query.left) > aim;
         let room = self.share * if request.over_share || late { SECOND_ROOM } else { 1.0 };
         let mut order: Vec<(f64, &Engine)> = Vec::new();
+        let reach = self.reach();
         for engine in allowed {
             let backlog = engine.backlog();
             // The scarcest resource counts: memory or disks may be gone while cores idle.
@@ -491,10 +500,14 @@
             let used = own.max(engine.load.memory.unwrap_or(0.0)).max(engine.load.disk.unwrap_or(0.0));
             let mut weight = engine.cores * (1.0 + used + engine.sent_since / engine.cores).powi(-3);
             weight /= engine.trouble(now).powi(2);
-            // Those whose turn it is send a cold engine what it can bear for all.
-            if let Some((turns, _)) = self.cold_turns(now, engine, class) {
-                weight *= (self.settings.gateways / turns * self.settings.cold_share).max(1.0);
-            }
+            // Those whose turn it is send a cold engine what it bears for all, from wherever they are.
+            let turns = self.cold_turns(now, engine, class).map_or(f64::INFINITY, |(turns, _)| turns);
+            let urge = (self.settings.gateways / turns * self.settings.cold_share).max(1.0);
+            let far = f64::from(engine.place > reach && now - engine.used > KEPT);
+            let away = f64::from(engine.place > 1.0);
+            let price = NEW_PRICED * self.settings.handshake_price * far
+                + AWAY_PRICED * self.settings.cross_price * away;
+            weight *= urge * if urge > RARE { 1.0 } else { (-price).exp() };
             // Another gateway's load is seen only by its readers of the group that stand still.
             let stands = |f: &Flight| f.is_load || now - f.sent > STALL_TIMES * f.expected;
             let held = engine.holds(now, request.query.tables);
@@ -538,6 +551,16 @@
         order.into_iter().map(|(_, e)| e).find(fits).map(|e| e.entry.id.clone())
     }
 
+    /// The last place in the order of preference of the engines that this gateway keeps connections to. Few
+    /// for each spare handshakes and are heard of often; enough gateways for each engine to even it out.
+    fn reach(&self) -> f64 {
+        let sound = self.engines.values().filter(|e| e.live() && !e.ejected);
+        let mut places: Vec<f64> = sound.map(|e| e.place).collect();
+        places.sort_by(f64::total_cmp);
+        let count = (KNOWN_BY * places.len() as f64 / self.settings.gateways).max(KNOWS) * self.share;
+        places.get(count as usize).copied().unwrap_or(f64::INFINITY)
+    }
+
     /// Memory for an attempt (MB): the estimate times what its class has been found to need over it.
     fn grant(&self, request: &Request) -> Option<f64> {
         let told = request.query.memory.filter(|_| self.settings.grants)?;
@@ -553,11 +576,8 @@
         let owed = !request.finished && !request.streaming && !request.spent && now < request.deadline;
         let tries = (request.attempts.len() as u32) < self.settings.max_attempts;
         let apart = !request.out() || self.settings.may_copy;
-        let near = |a: &Attempt| match class.group {
-            Group::All => true,
-            Group::Zone => a.home.0 == engine.entry.zone,
-            Group::Cell => a.home.1 == engine.entry.cell && a.home.0 == engine.entry.zone,
-        };
+        let at_home = |a: &Attempt| class.group == Group::Zone || a.home.1 == engine.entry.cell;
+        let near = |a: &Attempt| class.group == Group::All || a.home.0 == engine.entry.zone && at_home(a);
         let harmless =
             request.attempts.iter().filter(|a| a.fate != Fate::NeverRan).all(|a| match class.effect {
                 Effect::Repeatable => true,
@@ -583,10 +603,8 @@
         let stats = &self.classes[class];
         let settings = &self.settings.classes[class];
         let blind = settings.aim * 1000.0 * settings.threads / 2.0;
-        stats.work.get().unwrap_or_else(|| match (stats.cost.get(), stats.told.get()) {
-            (Some(cost), Some(told)) => cost.max(told),
-            _ => blind,
-        })
+        let told = stats.cost.get().zip(stats.told.get()).map(|(cost, told)| cost.max(told));
+        stats.work.get().or(told).unwrap_or(blind)
     }
 
     /// Rule 4: a cold engine gets no more than this gateway's share of what it can bear in any window.
@@ -668,6 +686,7 @@
         let Some(engine) = self.engines.get_mut(&id) else { return };
         engine.sends.push((now, weigh, at)); // of warm ones too: one may turn out to have restarted
         engine.sent_since += 1.0;
+        engine.used = now;
         engine.flights.insert(
             (number, attempt),
             Flight { sent: now, expected, cost, memory: told_memory, tables, is_load },
@@ -688,18 +707,15 @@
     }
 
     /// The final answer for a request given up on, at once. A refusal says that asking again is harmless.
-    fn give_up(&mut self, now: f64, number: u64, out: &mut Out) {
+    fn give_up(&mut self, number: u64, out: &mut Out) {
         let Some(request) = self.requests.get(&number) else { return };
         if request.finished || request.streaming {
             return;
         }
         let class = &self.settings.classes[request.query.class];
         let clean = request.attempts.iter().all(|a| a.fate == Fate::NeverRan);
-        let harmless = match class.effect {
-            Effect::Repeatable => true,
-            Effect::Keyed => class.group == Group::All,
-            Effect::Once => false,
-        };
+        let everywhere = class.effect == Effect::Keyed && class.group == Group::All;
+        let harmless = class.effect == Effect::Repeatable || everywhere;
         let id = request.query.id.clone();
         if clean || harmless {
             let most = self.settings.come_back;
@@ -710,11 +726,11 @@
         } else {
             out.push(Action::Fail { id });
         }
-        self.close(now, number, out);
+        self.close(number, out);
     }
 
     /// Nothing is owed any more: calls off what is still out and forgets what can be forgotten.
-    fn close(&mut self, now: f64, number: u64, out: &mut Out) {
+    fn close(&mut self, number: u64, out: &mut Out) {
         let Some(request) = self.requests.get_mut(&number) else { return };
         request.finished = true;
         self.held.remove(&number);
@@ -723,21 +739,16 @@
                 out.push(Action::Cancel { id: request.query.id.clone(), attempt: at as u32 });
             }
         }
-        self.forget(now, number);
+        self.forget(number);
     }
 
-    fn forget(&mut self, now: f64, number: u64) {
+    fn forget(&mut self, number: u64) {
         let Some(request) = self.requests.get(&number) else { return };
         if !request.finished || request.out() {
             return;
         }
-        if let Some(key) = request.query.key.clone() {
-            if let Some(turn) = self.turns.get_mut(&key) {
-                turn.line.retain(|n| *n != number);
-                if turn.line.is_empty() && now >= turn.rest_until {
-                    self.turns.remove(&key);
-                }
-            }
+        if let Some(turn) = request.query.key.as_ref().and_then(|key| self.turns.get_mut(key)) {
+            turn.line.retain(|n| *n != number); // the tick forgets empty ones
         }
         self.numbers.remove(&self.requests[&number].query.id);
         self.requests.remove(&number);
@@ -745,9 +756,7 @@
 
     /// Lets held requests go on whose turn has come.
     fn advance(&mut self, now: f64, out: &mut Out) {
-        for number in self.held.clone() {
-            self.dispatch(now, number, out);
-        }
+        self.held.clone().into_iter().for_each(|number| self.dispatch(now, number, out));
     }
 
     // ---- Outcomes ----
@@ -757,10 +766,8 @@
         let Some(request) = self.requests.get_mut(&number) else { return };
         let attempt = request.attempts.get_mut(ended.attempt as usize);
         let Some(attempt) = attempt.filter(|a| a.fate == Fate::Out) else { return };
-        attempt.fate = match ended.outcome {
-            Outcome::Full | Outcome::Unreachable | Outcome::Moot => Fate::NeverRan,
-            _ => Fate::MayHaveRun,
-        };
+        let never = matches!(ended.outcome, Outcome::Full | Outcome::Unreachable | Outcome::Moot);
+        attempt.fate = if never { Fate::NeverRan } else { Fate::MayHaveRun };
         let delay = now - attempt.sent;
         request.finished |= ended.finished;
         let may_run_on = matches!(ended.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
@@ -780,11 +787,11 @@
         }
         let request = &self.requests[&number];
         if request.finished {
-            self.close(now, number, out);
+            self.close(number, out);
         } else if !request.out() {
             // Out of time to be of use, or never sent by the wire's own word: answered at once.
             if ended.outcome == Outcome::Moot || request.deadline - now < 2.0 * self.settings.tick {
-                self.give_up(now, number, out);
+                self.give_up(number, out);
             } else {
                 self.dispatch(now, number, out);
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -114,6 +114,10 @@
     pub number: f64,
     /// The zone of this gateway.
     pub zone: String,
+    /// Points that a send to another zone costs, in requests served.
+    pub cross_price: f64,
+    /// The same for a new connection to an engine.
+    pub handshake_price: f64,
     /// The list must be subscribed to.
     pub must_subscribe: bool,
     /// Attempts may be cancelled, which frees what they held.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,8 +16,8 @@
 //! };
 //! let settings = Settings {
 //!     classes: vec![class], kinds: vec![KindSettings { name: "std".into(), cores: 8.0, memory: 0.0 }], tenants: vec![],
-//!     gateways: 1.0, number: 0.0, zone: "here".into(), must_subscribe: false, may_cancel: true, may_copy: false,
-//!     come_back: Some(0.5), max_attempts: 4, tick: 0.005,
+//!     gateways: 1.0, number: 0.0, zone: "here".into(), cross_price: 0.0, handshake_price: 0.0,
+//!     must_subscribe: false, may_cancel: true, may_copy: false, come_back: Some(0.5), max_attempts: 4, tick: 0.005,
 //!     priorities: true, grants: false, tells_cost: false,
 //!     cold_share: 0.3, cold_for: 14.0, fall_multiple: 2.0, fall_window: 1.0, order_settle: 0.0,
 //!     retry_budget: None,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -102,6 +102,7 @@
     let family = part(conf, "familyInfo", &none)?;
     let limits = part(conf, "limits", &none)?;
     let rules = part(conf, "rules", &none)?;
+    let prices = part(conf, "prices", &none)?;
     let mut classes = Vec::new();
     for (at, class) in list(conf, "classes")?.iter().enumerate() {
         classes.push(class_settings(object(class, "a class")?, at, family)?);
@@ -130,6 +131,8 @@
         gateways: num(conf, "fleetSize", 1.0)?.max(1.0),
         number: num(conf, "me", 0.0)?,
         zone: word(conf, "locality", "")?.into(),
+        cross_price: num(prices, "crossZone", 0.0)?,
+        handshake_price: num(prices, "handshake", 0.0)?,
         must_subscribe: word(conf, "discovery", "pushed")? == "on_request",
         may_cancel: flag(limits, "cancel")?,
         may_copy: flag(limits, "parallelTries")?,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -34,6 +34,8 @@
         gateways: 1.0,
         number: 0.0,
         zone: "a".into(),
+        cross_price: 0.0,
+        handshake_price: 0.0,
         must_subscribe: false,
         may_cancel: false,
         may_copy: false,
@@ -72,8 +74,11 @@
 
 impl World {
     pub fn new(settings: Settings, engines: &[&str]) -> Self {
-        let mut world =
-            World { gateway: Gateway::new(settings, 7), now: 100.0, actions: vec![], ticks: 100.0 };
+        Self::seeded(settings, engines, 7)
+    }
+    pub fn seeded(settings: Settings, engines: &[&str], seed: u64) -> Self {
+        let gateway = Gateway::new(settings, seed);
+        let mut world = World { gateway, now: 100.0, actions: vec![], ticks: 100.0 };
         world.list(Scope::Complete, engines.iter().map(|id| engine(id)).collect());
         world
     }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -268,3 +268,71 @@
     let (calm, jam) = (taken_of_six(1.0), taken_of_six(4.0));
     assert!(calm >= 5 && jam <= 2, "{calm} of six in calm, {jam} in a jam");
 }
+
+/// One of 100 gateways before thirty engines in two zones, which has sent 300 light queries that were served at
+/// once: the engines that got more than two of a hundred, and the share of all that went to its own zone.
+fn spread_of(number: usize, prices: (f64, f64)) -> (std::collections::BTreeSet<String>, f64) {
+    let mut s = crowd(100, number);
+    (s.handshake_price, s.cross_price) = prices;
+    s.zone = ["a", "b"][number % 2].into();
+    let mut w = World::seeded(s, &[], number as u64);
+    let zoned = |n: usize| EngineEntry { zone: ["a", "b"][n % 2].into(), ..engine(&format!("e{n}")) };
+    w.list(Scope::Complete, (0..30).map(zoned).collect());
+    let mut sent = vec![];
+    for n in 0..300 {
+        let id = format!("r{n}");
+        sent.extend(sent_to(&w.query_with(on(&id, 50.0))));
+        w.wait(0.1);
+        served(&mut w, &id, 50.0);
+    }
+    let own = sent.iter().filter(|e| e[1..].parse::<usize>().unwrap() % 2 == number % 2).count() as f64;
+    let often = |e: &&String| sent.iter().filter(|other| other == e).count() > 6;
+    (sent.iter().filter(often).cloned().collect(), own / sent.len() as f64)
+}
+
+#[test]
+fn connections_and_zones_that_cost_something_are_spared() {
+    let (all, _) = spread_of(0, (0.0, 0.0));
+    let (few, own) = spread_of(0, (0.08, 0.038));
+    assert!(all.len() >= 20, "{} engines where nothing costs", all.len());
+    assert!((8..=16).contains(&few.len()), "{} engines where connections cost", few.len());
+    assert!(own > 0.6, "{own} in its own zone");
+}
+
+#[test]
+fn the_few_that_gateways_keep_to_are_others_for_each() {
+    let mut known_by = std::collections::BTreeMap::<String, usize>::new();
+    for number in 0..100 {
+        for e in spread_of(number, (0.08, 0.0)).0 {
+            *known_by.entry(e).or_default() += 1;
+        }
+    }
+    let (least, most) = (known_by.values().min().unwrap(), known_by.values().max().unwrap());
+    assert!(known_by.len() == 30 && *least >= 15 && *most <= 70, "kept to by {least} to {most} of 100");
+}
+
+#[test]
+fn an_engine_that_leaves_is_replaced_among_those_kept_to() {
+    let mut s = crowd(100, 0);
+    s.handshake_price = 0.08;
+    let ids: Vec<String> = (0..30).map(|n| format!("e{n}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut w = World::new(s, &ids);
+    let mut count = 0;
+    let mut used = |w: &mut World| {
+        let mut sent = std::collections::BTreeSet::new();
+        for _ in 0..200 {
+            count += 1;
+            let id = format!("r{count}");
+            sent.extend(sent_to(&w.query_with(on(&id, 50.0))));
+            w.wait(0.1);
+            served(w, &id, 50.0);
+        }
+        sent
+    };
+    let before = used(&mut w);
+    let drains = |id: &String| EngineEntry { lifecycle: Lifecycle::Draining, ..engine(id) };
+    w.list(Scope::Changes, before.iter().map(drains).collect());
+    let after = used(&mut w);
+    assert!(after.len() >= 8 && after.is_disjoint(&before), "{before:?} and then {after:?}");
+}
