Room for swings shrinks with the part of the fleet that is cold

Cause: src/choice.rs pick, the allowance for swings followed mean DDR alone, which told of the lost capacity 2 to 3 s late. Change: it also shrinks with the cube of the capacity that the list says is there, cold engines by their least warmth. The test fails without it: four of six dear queries with 18 of 30 engines cold.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -483,9 +483,9 @@
         // Most of them bad together: the cause is shared, and a gateway that ejected them all would serve
         // nothing; the bounds alone decide. Hurts if most engines really are dead, for as long as that lasts.
         // Those that drain or are left out say nothing of that.
-        let live = self.engines.values().filter(|e| e.live()).count();
-        let sound = self.engines.values().filter(|e| e.live() && !e.ejected).count();
-        let shared = 2 * sound < live || allowed.iter().all(|e| e.ejected);
+        let live = || self.engines.values().filter(|e| e.live());
+        let sound = live().filter(|e| !e.ejected).count();
+        let shared = 2 * sound < live().count() || allowed.iter().all(|e| e.ejected);
         allowed.retain(|e| shared || !e.ejected);
         // Past its aim a query earns little; in a jam it would only delay those still in time.
         let aim = settings.aim + settings.aim_stretch * self.sigma(request);
@@ -518,14 +518,16 @@
         }
         order.sort_by(|a, b| a.0.total_cmp(&b.0));
         // Where a share of an engine is less than one query, the shares of all that the class may go to now
-        // count as one: an engine with nothing of ours takes a query of which a drawn part fits what they
-        // leave. One dearer than all room still runs, the more seldom the dearer it is. The less work a
-        // gateway has, the more it swings; all together even out, so that is no load while delays are short.
-        let pool = self.engines.values().filter(|e| e.live() && placed(settings, &e.entry));
-        let pool = pool.filter(|e| (shared || !e.ejected) && self.cold_room(now, e, class));
+        // count as one, and a drawn part of a query must fit what they leave: the dearer, the more seldom. The
+        // less work a gateway has, the more it swings; all even out, so that is no load while delays are short.
+        let pool = live().filter(|e| placed(settings, &e.entry) && (shared || !e.ejected));
+        let pool = pool.filter(|e| self.cold_room(now, e, class));
         let sum = |of: fn(&Engine) -> f64| pool.clone().map(of).sum::<f64>();
         let (open, count) = (room * sum(|e| e.bound), sum(|_| 1.0).max(1.0));
-        let calm = (sum(|e| e.last_error) / count / CALM).clamp(0.0, 1.0);
+        // Delays tell late of engines that went and came back cold; the list tells at once.
+        let warm: f64 = live().map(|e| e.cores * self.settings.warmth(now - e.started)).sum();
+        let warm = warm / live().map(|e| e.cores).sum::<f64>().max(1.0);
+        let calm = (sum(|e| e.last_error) / count / CALM).clamp(0.0, 1.0) * warm.powi(3);
         let spread = SPREAD * calm * (open * self.busy.value / self.cost.value.max(1.0)).sqrt();
         let left = open + spread - sum(Engine::backlog);
         let part = uniform(&mut self.rng);
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -246,7 +246,7 @@
 
 /// How many of six dear queries that come at once one of 100 gateways takes, after a minute in which each
 /// query took `times` its unhindered delay.
-fn taken_of_six(times: f64) -> usize {
+fn taken_of_six(times: f64, replaced: usize) -> usize {
     let ids: Vec<String> = (0..30).map(|n| format!("e{n}")).collect();
     let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
     let mut w = World::new(crowd(100, 0), &ids);
@@ -260,12 +260,17 @@
         }
         w.wait(0.3);
     }
+    // So many go, and others come in their place, cold.
+    let gone = |id: &&str| EngineEntry { lifecycle: Lifecycle::Gone, ..engine(id) };
+    let come = |id: &&str| EngineEntry { started: Some(w.now), ..engine(&format!("new-{id}")) };
+    let changes = ids[..replaced].iter().map(gone).chain(ids[..replaced].iter().map(come)).collect();
+    w.list(Scope::Changes, changes);
     (0..6).filter(|n| !sent_to(&w.query_with(on(&format!("six{n}"), 2000.0))).is_empty()).count()
 }
 
 #[test]
 fn one_gateways_burst_is_taken_while_delays_are_short_and_turned_away_in_a_jam() {
-    let (calm, jam) = (taken_of_six(1.0), taken_of_six(4.0));
+    let (calm, jam) = (taken_of_six(1.0, 0), taken_of_six(4.0, 0));
     assert!(calm >= 5 && jam <= 2, "{calm} of six in calm, {jam} in a jam");
 }
 
@@ -336,3 +341,9 @@
     let after = used(&mut w);
     assert!(after.len() >= 8 && after.is_disjoint(&before), "{before:?} and then {after:?}");
 }
+
+#[test]
+fn a_fleet_that_turned_cold_does_not_take_what_it_took_when_it_was_warm() {
+    let (few, most) = (taken_of_six(1.0, 3), taken_of_six(1.0, 18));
+    assert!(few >= 4 && most <= 3, "{few} of six with three of thirty cold, {most} with eighteen");
+}
