--- a/src/choice.rs
+++ b/src/choice.rs
@@ -518,8 +518,8 @@
         }
         order.sort_by(|a, b| a.0.total_cmp(&b.0));
         // Where a share of an engine is less than one query, the shares of all that the class may go to now
-        // count as one, and a drawn part of a query must fit what they leave: the dearer, the more seldom. The
-        // less work a gateway has, the more it swings; all even out, so that is no load while delays are short.
+        // count as one, and a drawn part of a query must fit what they leave: the dearer, the more seldom. A
+        // gateway with little work swings more; all even out, so that is no load while delays are short.
         let pool = live().filter(|e| placed(settings, &e.entry) && (shared || !e.ejected));
         let pool = pool.filter(|e| self.cold_room(now, e, class));
         let sum = |of: fn(&Engine) -> f64| pool.clone().map(of).sum::<f64>();
