One list of the pool for each query, one guard in the trace, one loop in the scale tests

Left as they are: the settings literals of lab and example (each names every field on purpose), and the two signatures of an attempt's end in src/core/mod.rs.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -521,9 +521,9 @@
         // count as one, and a drawn part of a query must fit what they leave: the dearer, the more seldom. A
         // gateway with little work swings more; all even out, so that is no load while delays are short.
         let pool = live().filter(|e| placed(settings, &e.entry) && (shared || !e.ejected));
-        let pool = pool.filter(|e| self.cold_room(now, e, class));
-        let sum = |of: fn(&Engine) -> f64| pool.clone().map(of).sum::<f64>();
-        let (open, count) = (room * sum(|e| e.bound), sum(|_| 1.0).max(1.0));
+        let pool: Vec<&Engine> = pool.filter(|e| self.cold_room(now, e, class)).collect();
+        let sum = |of: fn(&Engine) -> f64| pool.iter().map(|e| of(e)).sum::<f64>();
+        let (open, count) = (room * sum(|e| e.bound), (pool.len() as f64).max(1.0));
         // Delays tell late of engines that went and came back cold; the list tells at once.
         let warm: f64 = live().map(|e| e.cores * self.settings.warmth(now - e.started)).sum();
         let warm = warm / live().map(|e| e.cores).sum::<f64>().max(1.0);
--- a/src/core/trace.rs
+++ b/src/core/trace.rs
@@ -6,6 +6,7 @@
 use dahliaspoke::interface::{EngineId, Outcome, RequestId};
 use dahliaspoke::settings::Res;
 use serde::Deserialize;
+use std::fmt;
 
 /// Where the file is, from the folder that the daemon is started in.
 const FILE: &str = "deploy/trace.toml";
@@ -25,28 +26,26 @@
         Ok(optional(FILE)?.unwrap_or_default())
     }
 
-    /// A request came in: its class, its estimate (ms of one thread), and the time its client waits (s).
-    pub fn taken(self, now: Time, id: &RequestId, class: usize, estimate: Option<f64>, left: f64) {
+    fn line(self, now: Time, line: fmt::Arguments) {
         if self.requests {
-            println!("{now:.3} taken {id} {class} {:.0} {left:.3}", estimate.unwrap_or(0.0));
+            println!("{now:.3} {line}");
         }
     }
 
+    /// A request came in: its class, its estimate (ms of one thread), and the time its client waits (s).
+    pub fn taken(self, now: Time, id: &RequestId, class: usize, estimate: Option<f64>, left: f64) {
+        self.line(now, format_args!("taken {id} {class} {:.0} {left:.3}", estimate.unwrap_or(0.0)));
+    }
+
     pub fn sent(self, now: Time, id: &RequestId, attempt: u32, engine: &EngineId) {
-        if self.requests {
-            println!("{now:.3} sent {id} {attempt} {engine}");
-        }
+        self.line(now, format_args!("sent {id} {attempt} {engine}"));
     }
 
     pub fn ended(self, now: Time, id: &RequestId, attempt: u32, outcome: Outcome) {
-        if self.requests {
-            println!("{now:.3} ended {id} {attempt} {outcome:?}");
-        }
+        self.line(now, format_args!("ended {id} {attempt} {outcome:?}"));
     }
 
     pub fn answered(self, now: Time, id: &RequestId, word: &str) {
-        if self.requests {
-            println!("{now:.3} answered {id} {word}");
-        }
+        self.line(now, format_args!("answered {id} {word}"));
     }
 }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -45,16 +45,21 @@
     w
 }
 
-/// Sends one query after another, each served at once, and counts those that meet `engine`.
-fn met(w: &mut World, tag: &str, count: usize, engine: &str) -> usize {
-    let mut met = 0;
+/// Sends one query after another, each served at once, and tells where they went.
+fn one_by_one(w: &mut World, tag: &str, count: usize, work: f64) -> Vec<String> {
+    let mut sent = vec![];
     for n in 0..count {
         let id = format!("{tag}{n}");
-        met += (sent_to(&w.query_with(on(&id, 100.0))) == [engine]) as usize;
+        sent.extend(sent_to(&w.query_with(on(&id, work))));
         w.wait(0.1);
-        served(w, &id, 100.0);
+        served(w, &id, work);
     }
-    met
+    sent
+}
+
+/// The same, and how many met `engine`.
+fn met(w: &mut World, tag: &str, count: usize, engine: &str) -> usize {
+    one_by_one(w, tag, count, 100.0).iter().filter(|e| *e == engine).count()
 }
 
 #[test]
@@ -283,13 +288,7 @@
     let mut w = World::seeded(s, &[], number as u64);
     let zoned = |n: usize| EngineEntry { zone: ["a", "b"][n % 2].into(), ..engine(&format!("e{n}")) };
     w.list(Scope::Complete, (0..30).map(zoned).collect());
-    let mut sent = vec![];
-    for n in 0..300 {
-        let id = format!("r{n}");
-        sent.extend(sent_to(&w.query_with(on(&id, 50.0))));
-        w.wait(0.1);
-        served(&mut w, &id, 50.0);
-    }
+    let sent = one_by_one(&mut w, "r", 300, 50.0);
     let own = sent.iter().filter(|e| e[1..].parse::<usize>().unwrap() % 2 == number % 2).count() as f64;
     let often = |e: &&String| sent.iter().filter(|other| other == e).count() > 6;
     (sent.iter().filter(often).cloned().collect(), own / sent.len() as f64)
@@ -323,22 +322,13 @@
     let ids: Vec<String> = (0..30).map(|n| format!("e{n}")).collect();
     let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
     let mut w = World::new(s, &ids);
-    let mut count = 0;
-    let mut used = |w: &mut World| {
-        let mut sent = std::collections::BTreeSet::new();
-        for _ in 0..200 {
-            count += 1;
-            let id = format!("r{count}");
-            sent.extend(sent_to(&w.query_with(on(&id, 50.0))));
-            w.wait(0.1);
-            served(w, &id, 50.0);
-        }
-        sent
+    let used = |w: &mut World, tag: &str| -> std::collections::BTreeSet<String> {
+        one_by_one(w, tag, 200, 50.0).into_iter().collect()
     };
-    let before = used(&mut w);
+    let before = used(&mut w, "before");
     let drains = |id: &String| EngineEntry { lifecycle: Lifecycle::Draining, ..engine(id) };
     w.list(Scope::Changes, before.iter().map(drains).collect());
-    let after = used(&mut w);
+    let after = used(&mut w, "after");
     assert!(after.len() >= 8 && after.is_disjoint(&before), "{before:?} and then {after:?}");
 }
 
