Connections that come up late serve later calls; unsent is no refused connect

Ruled out: refusals for room (bounds were open), lost answers (rules kept). At fault: resp::line_for gave the dial up with its call, so each later call dialled anew and met the same third; choice::judge took a silent dial for a restart (rule 4) and closed the engine to all but its turns. Change: a call waits in its own time and a dial has another, eight times as long; a second dial races a slow one, idle connections take calls that wait, two spare dials stay. Outcome::Unsent beside Unreachable: only a refused connect makes an engine cold. A keyed repeat says until when it may go out (window), checked as it is written. What an engine sent before it closed counts before our failed write. A ready engine that takes another's address closes that one at once.

--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -130,8 +130,7 @@
             return self.breaks("answers", now, format!("a send for {request}, which was never taken"));
         };
         let class = &self.settings.classes[state.class];
-        let ran =
-            |a: &&Attempt| !matches!(a.outcome, Some(Outcome::Full | Outcome::Unreachable | Outcome::Moot));
+        let ran = |a: &&Attempt| !a.outcome.is_some_and(Outcome::never_ran);
         let window = micros(class.memory_span);
         let allowed = match class.effect {
             Effect::Repeatable => true,
@@ -211,10 +210,7 @@
             return self.breaks("answers", now, format!("an answer to {request}, which was never taken"));
         };
         let class = &self.settings.classes[state.class];
-        let ran = state
-            .attempts
-            .iter()
-            .any(|a| !matches!(a.outcome, Some(Outcome::Full | Outcome::Unreachable | Outcome::Moot)));
+        let ran = state.attempts.iter().any(|a| !a.outcome.is_some_and(Outcome::never_ran));
         let harmless = match class.effect {
             Effect::Repeatable => true,
             Effect::Keyed => !ran || class.group == Group::All,
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -125,7 +125,7 @@
         open.on.push(engine.clone());
         let _ = now;
         *self.engines.entry(engine.clone()).or_default() += 1;
-        out.push(Action::Send { id: id.clone(), engine, timeout: None });
+        out.push(Action::Send { id: id.clone(), engine, timeout: None, within: None });
     }
 
     fn give_up(&mut self, id: &RequestId, out: &mut Vec<Action>) {
@@ -176,7 +176,7 @@
                     self.requests.remove(&ended.id);
                     return;
                 }
-                if !matches!(ended.outcome, Outcome::Full | Outcome::Unreachable | Outcome::Moot) {
+                if !ended.outcome.never_ran() {
                     open.ran.get_or_insert(now);
                 }
                 let class = &self.settings.classes[open.class];
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -488,7 +488,7 @@
 
     fn act(&mut self, coordinator: usize, action: Action) {
         match action {
-            Action::Send { id, engine, timeout } => {
+            Action::Send { id, engine, timeout, .. } => {
                 self.send(coordinator, number(&id), position(&engine), timeout)
             }
             Action::Cancel { id, attempt } => {
--- a/crates/lab/tests/model.rs
+++ b/crates/lab/tests/model.rs
@@ -99,11 +99,11 @@
             }
             (Fault::AfterTheEnd, Some((id, true, _))) if self.held.is_empty() => {
                 self.held.push(id.clone());
-                out.push(Action::Send { id, engine: "e0".into(), timeout: None });
+                out.push(Action::Send { id, engine: "e0".into(), timeout: None, within: None });
             }
             (Fault::Repeats, Some((id, false, Outcome::Error))) => {
                 out.truncate(from);
-                out.push(Action::Send { id, engine: "e1".into(), timeout: None });
+                out.push(Action::Send { id, engine: "e1".into(), timeout: None, within: None });
             }
             (Fault::Lies, Some((id, false, Outcome::Error))) => {
                 out.truncate(from);
@@ -119,7 +119,7 @@
             }
             (Fault::Floods, Some((id, false, _))) => {
                 out.truncate(from);
-                out.push(Action::Send { id, engine: "e1".into(), timeout: None });
+                out.push(Action::Send { id, engine: "e1".into(), timeout: None, within: None });
             }
             _ => {}
         }
--- a/examples/dispatcher.rs
+++ b/examples/dispatcher.rs
@@ -69,7 +69,7 @@
     fn act(&mut self, action: Action) -> Option<Event> {
         match action {
             // The first send of a request is attempt 0, the next is 1: both sides count.
-            Action::Send { id, engine, timeout } => {
+            Action::Send { id, engine, timeout, .. } => {
                 let tries = self.tries.entry(id.clone()).or_default();
                 let attempt = *tries;
                 *tries += 1;
--- a/src/bin/dahliaspoke-benchlink/wire.rs
+++ b/src/bin/dahliaspoke-benchlink/wire.rs
@@ -103,7 +103,7 @@
 
 fn action(inst: u64, action: Action) -> Value {
     match action {
-        Action::Send { id, engine, timeout } => json!(["place", inst, &*id, &*engine, timeout]),
+        Action::Send { id, engine, timeout, .. } => json!(["place", inst, &*id, &*engine, timeout]),
         Action::Cancel { id, attempt } => json!(["recall", inst, &*id, attempt]),
         Action::Refuse { id, come_back } => json!(["reject", inst, &*id, come_back]),
         Action::Fail { id } => json!(["surrender", inst, &*id]),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -678,10 +678,13 @@
         let retried = class.effect == Effect::Repeatable && more && patience + usual < left;
         let timeout = retried.then_some(patience);
         let memory = self.grant(request);
+        // Past its window a repeat is none: it must not go out late either.
+        let ran =
+            request.attempts.iter().filter(|a| a.fate != Fate::NeverRan && class.effect == Effect::Keyed);
+        let within = ran.map(|a| a.sent + class.memory_span - self.settings.tick - now).reduce(f64::min);
         let told_memory = request.query.memory.unwrap_or(0.0);
         let (cost, tables, is_load) = (request.cost, request.query.tables, class.is_load);
-        let attempt = request.attempts.len() as u32;
-        let request_id = request.query.id.clone();
+        let (attempt, request_id) = (request.attempts.len() as u32, request.query.id.clone());
         if attempt > 0 && self.settings.retry_budget.is_some() {
             self.again.push((now, number, attempt));
         }
@@ -689,10 +692,8 @@
         engine.sends.push((now, weigh, at)); // of warm ones too: one may turn out to have restarted
         engine.sent_since += 1.0;
         engine.used = now;
-        engine.flights.insert(
-            (number, attempt),
-            Flight { sent: now, expected, cost, memory: told_memory, tables, is_load },
-        );
+        let flight = Flight { sent: now, expected, cost, memory: told_memory, tables, is_load };
+        engine.flights.insert((number, attempt), flight);
         engine.peak = engine.peak.max(engine.backlog());
         let home = (engine.entry.zone.clone(), engine.entry.cell);
         if let Some(request) = self.requests.get_mut(&number) {
@@ -705,7 +706,7 @@
         if self.settings.priorities || memory.is_some() {
             out.push(Action::Terms { id: request_id.clone(), memory, rank });
         }
-        out.push(Action::Send { id: request_id, engine: id, timeout });
+        out.push(Action::Send { id: request_id, engine: id, timeout, within });
     }
 
     /// The final answer for a request given up on, at once. A refusal says that asking again is harmless.
@@ -768,8 +769,7 @@
         let Some(request) = self.requests.get_mut(&number) else { return };
         let attempt = request.attempts.get_mut(ended.attempt as usize);
         let Some(attempt) = attempt.filter(|a| a.fate == Fate::Out) else { return };
-        let never = matches!(ended.outcome, Outcome::Full | Outcome::Unreachable | Outcome::Moot);
-        attempt.fate = if never { Fate::NeverRan } else { Fate::MayHaveRun };
+        attempt.fate = if ended.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         let delay = now - attempt.sent;
         request.finished |= ended.finished;
         let may_run_on = matches!(ended.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
@@ -930,7 +930,7 @@
             }
             _ => engine.last_heard = now,
         }
-        // An engine that could not be reached probably restarts; the list may say so late (rule 4).
+        // One that refuses connections probably restarts, which the list may tell late (rule 4).
         if outcome == Outcome::Unreachable {
             engine.unreached = now;
         }
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -28,6 +28,7 @@
     pub reset: u64,
     pub cancelled: u64,
     pub moot: u64,
+    pub unsent: u64,
 }
 
 impl Counters {
@@ -41,6 +42,7 @@
             Outcome::Reset => &mut self.reset,
             Outcome::Cancelled => &mut self.cancelled,
             Outcome::Moot => &mut self.moot,
+            Outcome::Unsent => &mut self.unsent,
         } += 1;
     }
 }
@@ -62,7 +64,7 @@
         )?;
         write!(
             f,
-            " ok={} error={} full={} timeout={} unreachable={} reset={} cancelled={} moot={}",
+            " ok={} error={} full={} timeout={} unreachable={} reset={} cancelled={} moot={} unsent={}",
             self.ok,
             self.error,
             self.full,
@@ -70,7 +72,8 @@
             self.unreachable,
             self.reset,
             self.cancelled,
-            self.moot
+            self.moot,
+            self.unsent
         )
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -88,6 +88,8 @@
     pub engine: EngineId,
     /// When the coordinator stops waiting.
     pub deadline: Time,
+    /// When its first byte must have gone out, or it is not sent at all.
+    pub begins_by: Time,
     /// Memory granted (MB).
     pub memory: Option<f64>,
     /// Priority, 0 to 3.
@@ -103,7 +105,9 @@
     Error,
     /// The engine turned it away unseen, or there was no connection left for it.
     Full,
-    /// No byte of it reached the engine.
+    /// Its machine refused the connection.
+    Refused,
+    /// No byte of it went out in time.
     NotSent,
     /// The connection broke after a byte of it went out.
     Broken,
@@ -360,7 +364,8 @@
                     Ending::Served(parts) => (Outcome::Ok, Some(parts)),
                     Ending::Error => (Outcome::Error, None),
                     Ending::Full => (Outcome::Full, None),
-                    Ending::NotSent => (Outcome::Unreachable, None),
+                    Ending::Refused => (Outcome::Unreachable, None),
+                    Ending::NotSent => (Outcome::Unsent, None),
                     Ending::Broken => (Outcome::Reset, None),
                     Ending::Moot => (Outcome::Moot, None),
                 };
@@ -394,7 +399,7 @@
                 Alarm::Attempt(id, attempt) => {
                     if self.end(&id, attempt) {
                         let unsent = doors[self.door(&id)].link.drop_call(now, &id, attempt);
-                        let outcome = if unsent { Outcome::Unreachable } else { Outcome::Timeout };
+                        let outcome = if unsent { Outcome::Unsent } else { Outcome::Timeout };
                         self.ended(now, id, attempt, outcome, None, doors);
                     }
                 }
@@ -484,7 +489,9 @@
 
     fn act(&mut self, now: Time, action: Action, doors: &mut [Door]) {
         match action {
-            Action::Send { id, engine, timeout } => self.send(now, id, engine, timeout, doors),
+            Action::Send { id, engine, timeout, within } => {
+                self.send(now, (id, engine), timeout, within, doors);
+            }
             Action::Cancel { id, attempt } => {
                 if self.end(&id, attempt) {
                     doors[self.door(&id)].link.drop_call(now, &id, attempt);
@@ -517,7 +524,14 @@
         }
     }
 
-    fn send(&mut self, now: Time, id: RequestId, engine: EngineId, timeout: Option<f64>, doors: &mut [Door]) {
+    fn send(
+        &mut self,
+        now: Time,
+        (id, engine): (RequestId, EngineId),
+        timeout: Option<f64>,
+        within: Option<f64>,
+        doors: &mut [Door],
+    ) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let attempt = request.attempts.len() as u32;
         let rank = request.rank;
@@ -527,11 +541,12 @@
             return self.events.push_back(event);
         }
         let deadline = timeout.map_or(request.deadline, |t| request.deadline.min(now + t));
+        let begins_by = within.map_or(deadline, |w| deadline.min(now + w));
         request.attempts.push(Attempt { out: true, rank });
         let (door, memory, work) = (request.door, request.memory, request.work.clone());
         self.counters.sends += 1;
         self.trace.sent(now, &id, attempt, &engine);
         self.timers.set(deadline, Alarm::Attempt(id.clone(), attempt));
-        doors[door].link.start(now, Call { id, attempt, engine, deadline, memory, rank, work });
+        doors[door].link.start(now, Call { id, attempt, engine, deadline, begins_by, memory, rank, work });
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -214,8 +214,10 @@
     Full,
     /// No timely answer; it may run on.
     Timeout,
-    /// Not connected.
+    /// Its machine refused the connection, or no connection was to be had.
     Unreachable,
+    /// No byte of it went out in time: no connection came up, or none took it. Its process may be as it was.
+    Unsent,
     /// The connection broke; it may have run.
     Reset,
     /// Cancelled; it may have run.
@@ -224,6 +226,13 @@
     Moot,
 }
 
+impl Outcome {
+    /// Whether it proves that the attempt never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::Unreachable | Outcome::Unsent | Outcome::Moot)
+    }
+}
+
 /// A query taken from a client.
 #[derive(Clone, Debug, Default)]
 pub struct Query {
@@ -334,6 +343,8 @@
         engine: EngineId,
         /// Time-out in seconds; `None`: until the client gives up.
         timeout: Option<f64>,
+        /// Seconds within which its first byte has to go out, or it is not sent at all; `None`: as the time-out.
+        within: Option<f64>,
     },
     /// Call an attempt off.
     Cancel {
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -75,8 +75,14 @@
     pub engine_sessions: usize,
     /// Connections of one link to all engines.
     pub lines: usize,
-    /// An engine connection that is not up by then counts as refused.
+    /// A call that waits for a connection to its engine is given up after this.
     pub connect: f64,
+    /// It tries a second connection after this.
+    pub redial: f64,
+    /// A connection that is not up by then never comes up; those that come late serve later calls.
+    pub dial: f64,
+    /// Connections to one engine that no call waits for any more and that may still come up.
+    pub spare_dials: usize,
     /// An engine connection without attempts is closed after this, before the engine does.
     pub engine_idle: f64,
     /// A call that was dropped bars its id from its connection for so long: a late answer must not be taken
@@ -132,6 +138,11 @@
 const BODY_SHARE: f64 = 0.125;
 /// Share of the engines' idle limit after which the daemon closes first: a send must not cross their close.
 const IDLE_SHARE: f64 = 0.8;
+/// The part of the time to connect after which a second connection races the first: one that is not late is up in a
+/// small part of that time, or the settings' time would leave no room for it.
+const REDIAL_PART: f64 = 4.0;
+/// So many times that time a connection may take to come up: some come late, and are as good as others.
+const DIAL_TIMES: f64 = 8.0;
 /// Taken off the drain grace for a slow turn of the loop.
 const GRACE_MARGIN: f64 = 0.1;
 
@@ -195,6 +206,9 @@
             engine_sessions: 16,
             lines: ((sockets - clients) as usize).saturating_sub(OWN),
             connect: num(held, "connectTimeout", 0.25)?,
+            redial: num(held, "connectTimeout", 0.25)? / REDIAL_PART,
+            spare_dials: 2,
+            dial: num(held, "connectTimeout", 0.25)? * DIAL_TIMES,
             engine_idle: num(held, "connIdle", 15.0)? * IDLE_SHARE,
             echo: 30.0,
             drain_grace: (num(rules, "drainGrace", 1.0)? - GRACE_MARGIN).max(0.0),
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -51,6 +51,19 @@
         engine.closes.filter(|_| news)
     }
 
+    /// Other engines that still go by that address.
+    pub fn others_at(&self, id: &EngineId, address: SocketAddr) -> Vec<EngineId> {
+        let others = self.0.iter().filter(|(other, e)| *other != id && e.address == address);
+        others.map(|(other, _)| other.clone()).collect()
+    }
+
+    /// Nothing begins to go to that engine from now on.
+    pub fn close(&mut self, now: Time, id: &EngineId) {
+        if let Some(engine) = self.0.get_mut(id) {
+            engine.closes = Some(engine.closes.map_or(now, |at| at.min(now)));
+        }
+    }
+
     pub fn get(&self, id: &EngineId) -> Option<&Engine> {
         self.0.get(id)
     }
--- a/src/link/mysql/mod.rs
+++ b/src/link/mysql/mod.rs
@@ -182,7 +182,7 @@
             return None;
         }
         let channel = Channel::connect(engine.address).ok()?;
-        let until = now + limits.connect;
+        let until = (now + limits.connect).min(call.begins_by);
         let line = |token| Line {
             channel,
             token,
@@ -262,6 +262,8 @@
 impl Connection for Line {
     type Shared = Shared;
 
+    const ANSWERS: bool = true;
+
     fn channel(&mut self) -> &mut Channel {
         &mut self.channel
     }
@@ -305,7 +307,11 @@
         let unsent = self.is_unsent();
         self.end_sending(shared);
         if let Some(run) = self.running.take() {
-            let ending = if unsent { Ending::NotSent } else { Ending::Broken };
+            let ending = match unsent {
+                true if self.channel.refused => Ending::Refused,
+                true => Ending::NotSent,
+                false => Ending::Broken,
+            };
             shared.news.push_back(News::Ended { id: run.id, attempt: run.attempt, ending, report: None });
         }
     }
--- a/src/link/resp/mod.rs
+++ b/src/link/resp/mod.rs
@@ -21,6 +21,10 @@
     Connection(Token),
     /// An answer that has begun there must be whole.
     Answer(Token),
+    /// A call that waits for its connection tries a second one.
+    Redial(RequestId, u32),
+    /// A call must have begun to go out by now.
+    Unsent(RequestId, u32),
     /// Nothing may begin to go to this engine any more.
     Drained(EngineId),
 }
@@ -30,8 +34,10 @@
     limits: Rc<Limits>,
     news: VecDeque<News>,
     /// Calls of which no byte went out before their connection ended; they go by another one.
-    again: Vec<(Call, usize)>,
+    again: Vec<Running>,
     timers: Timers<Alarm>,
+    /// Connections that have come up, or have become idle: calls that still wait for theirs may go there.
+    free: Vec<Token>,
     /// Attempts that went out whole on connections that have ended.
     written: u64,
     /// Where large bodies are, if anywhere.
@@ -52,6 +58,8 @@
 struct Running {
     call: Call,
     sent: Time,
+    /// When it must have begun to go out.
+    by: Time,
     /// Connections that ended before it went out.
     moves: usize,
     /// By which its request can be taken back from the output.
@@ -66,10 +74,12 @@
 struct Line {
     channel: Channel,
     token: Token,
+    engine: EngineId,
+    address: SocketAddr,
     running: HashMap<RequestId, Running>,
     /// Ids that were dropped here, and until when a late answer to them may still come.
     echoes: Vec<(Time, RequestId)>,
-    /// While it connects, when it must be up; later, when it has been idle too long.
+    /// While it connects, when it is given up; later, when it has been idle too long.
     until: Time,
     /// When an answer that has begun must be whole.
     answer_by: Time,
@@ -92,8 +102,8 @@
 
 impl Resp {
     pub fn new(part: u8, spool: Option<bodies::Shared>, poller: Rc<Poller>, limits: Rc<Limits>) -> Self {
-        let (news, again, timers) = (VecDeque::new(), Vec::new(), Timers::default());
-        let shared = Shared { limits, news, again, timers, written: 0, spool, readers: HashMap::new() };
+        let (news, again, timers, free) = (VecDeque::new(), Vec::new(), Timers::default(), Vec::new());
+        let shared = Shared { limits, news, again, timers, free, written: 0, spool, readers: HashMap::new() };
         Self { table: Table::new(part, poller), engines: Engines::default(), calls: HashMap::new(), shared }
     }
 
@@ -111,7 +121,7 @@
         let Some(line) = self.table.get(token) else { return };
         let flow = line.send_on(now, &mut self.shared);
         self.table.settle(now, token, flow, &mut self.shared);
-        self.send_again(now);
+        self.send_waiting(now);
     }
 
     /// Follows the list of engines. `address` is absent where the list does not tell it.
@@ -119,6 +129,16 @@
         let closes = now + self.shared.limits.drain_grace;
         if let Some(closes) = self.engines.follow(id, lifecycle, address, closes) {
             self.shared.timers.set(closes, Alarm::Drained(id.clone()));
+            for token in self.engines.get(id).map(|e| e.lines.clone()).unwrap_or_default() {
+                let Some(line) = self.table.get(token) else { continue };
+                line.running.values_mut().for_each(|run| run.by = run.by.min(closes));
+            }
+        }
+        let taken = address.filter(|_| lifecycle == Lifecycle::Ready);
+        for former in taken.map(|address| self.engines.others_at(id, address)).unwrap_or_default() {
+            // Its address is another's now: what still waits for a connection there must not reach that one.
+            self.engines.close(now, &former);
+            self.drained(now, &former);
         }
     }
 
@@ -140,20 +160,16 @@
         let Some(engine) = self.engines.get(id).filter(|e| e.is_closed(now)) else {
             return;
         };
-        for token in &engine.lines {
-            let Some(line) = self.table.get(*token) else { continue };
-            let Line { channel, running, sending, .. } = line;
-            let mut cut = false;
-            running.retain(|id, run| {
-                let unsent = channel.take_back(run.tag);
-                if unsent {
-                    self.shared.news.push_back(ended(id, run.call.attempt, Ending::NotSent, None));
-                    cut |= sending.as_ref().is_some_and(|s| s.id == *id);
+        for token in engine.lines.clone() {
+            let Some(line) = self.table.get(token) else { continue };
+            for id in Vec::from_iter(line.running.keys().cloned()) {
+                if let Some(run) = self.take_unsent(now, token, &id) {
+                    self.shared.news.push_back(ended(&id, run.call.attempt, Ending::NotSent, None));
                 }
-                !unsent
-            });
-            if cut {
-                self.table.close(now, *token, &mut self.shared); // what is queued of its body must not go out
+            }
+            // A connection that comes up from now on is of no use.
+            if self.table.get(token).is_some_and(|line| line.channel.connecting) {
+                self.table.close(now, token, &mut self.shared);
             }
         }
         if !self.engines.forget(now, id) {
@@ -161,65 +177,128 @@
         }
     }
 
-    /// An idle connection to the engine, or a new one, or the one that has least to do: whatever ends a
+    /// Takes a call off its connection, if no byte of it has gone out.
+    fn take_unsent(&mut self, now: Time, token: Token, id: &RequestId) -> Option<Running> {
+        let line = self.table.get(token)?;
+        let tag = line.running.get(id)?.tag;
+        if !line.channel.take_back(tag) {
+            return None;
+        }
+        let run = line.running.remove(id);
+        if line.sending.as_ref().is_some_and(|s| s.id == *id) {
+            self.table.close(now, token, &mut self.shared); // what is queued of its body must not go out
+        }
+        run
+    }
+
+    /// The time for a call to begin to go out is over.
+    fn unsent(&mut self, now: Time, id: &RequestId, attempt: u32) {
+        let Some(token) = self.calls.get(&(id.clone(), attempt)).copied() else { return };
+        let due = |line: &mut Line| line.running.get(id).is_some_and(|run| run.by <= now);
+        if self.table.get(token).is_some_and(due) && self.take_unsent(now, token, id).is_some() {
+            self.shared.news.push_back(ended(id, attempt, Ending::NotSent, None));
+            self.spare_dials(now, token);
+        }
+    }
+
+    /// Of the connections to an engine that still do not come up and that no call waits for, a few are kept: those
+    /// begun last.
+    fn spare_dials(&mut self, now: Time, token: Token) {
+        let Some(id) = self.table.get(token).map(|line| line.engine.clone()) else { return };
+        let Some(engine) = self.engines.get(&id) else { return };
+        let table = &mut self.table;
+        let idle = |line: &mut Line| line.channel.connecting && line.running.is_empty();
+        let idle: Vec<Token> =
+            engine.lines.iter().copied().filter(|token| table.get(*token).is_some_and(idle)).collect();
+        for token in idle.iter().rev().skip(self.shared.limits.spare_dials) {
+            self.table.close(now, *token, &mut self.shared);
+        }
+    }
+
+    /// A call has waited for its connection for longer than those take that are not late: a second one races the
+    /// first, and both stay for what comes next.
+    fn redial(&mut self, now: Time, id: &RequestId, attempt: u32) {
+        let Some(token) = self.calls.get(&(id.clone(), attempt)).copied() else { return };
+        let Some(line) = self.table.get(token).filter(|line| line.channel.connecting) else { return };
+        let engine = line.engine.clone();
+        if !self.is_full(&engine) {
+            // One that cannot be begun is as one that never comes up.
+            let _ = self.dial(now, &engine);
+        }
+    }
+
+    /// Whether there is no place for a further connection to an engine.
+    fn is_full(&self, engine: &EngineId) -> bool {
+        let lines = self.engines.get(engine).map_or(0, |e| e.lines.len());
+        lines >= self.shared.limits.pool || self.table.len() >= self.shared.limits.lines
+    }
+
+    /// Begins a connection to an engine that takes calls.
+    fn dial(&mut self, now: Time, id: &EngineId) -> Result<Token, Ending> {
+        let limits = self.shared.limits.clone();
+        let engine = self.engines.get_mut(id).filter(|e| !e.is_closed(now)).ok_or(Ending::NotSent)?;
+        let address = engine.address;
+        let channel = Channel::connect(address).map_err(|_| Ending::NotSent)?;
+        let until = now + limits.dial;
+        let line = |token| Line {
+            channel,
+            token,
+            engine: id.clone(),
+            address,
+            running: HashMap::new(),
+            echoes: Vec::new(),
+            until,
+            answer_by: Time::INFINITY,
+            heard: now,
+            stale: false,
+            sending: None,
+        };
+        let token = self.table.add(|token| Some(line(token))).ok().flatten().ok_or(Ending::Full)?;
+        self.shared.timers.set(until, Alarm::Connection(token));
+        engine.lines.push(token);
+        Ok(token)
+    }
+
+    /// A connection for the call: an idle one, or a new one, or the one that has least to do. Whatever ends a
     /// connection takes all attempts on it along, so each has one of its own while there are enough.
     fn line_for(&mut self, now: Time, call: &Call) -> Result<Token, Ending> {
         let limits = self.shared.limits.clone();
         let engine = self.engines.get_mut(&call.engine).filter(|e| !e.is_closed(now));
         let engine = engine.ok_or(Ending::NotSent)?;
-        let table = &mut self.table;
+        let (table, address) = (&mut self.table, engine.address);
         engine.lines.retain(|token| table.get(*token).is_some());
         let alone = call.work.body.is_some();
         let fits = |line: &mut Line| {
             line.echoes.retain(|echo| echo.0 > now);
             let room = line.running.len() < limits.streams && line.channel.queued() < limits.unwritten;
-            let room = room && !line.stale && line.sending.is_none();
+            let room = room && !line.stale && line.sending.is_none() && line.address == address;
             let room = room && (!alone || line.running.is_empty());
             let apart = !line.running.contains_key(&call.id) && line.echoes.iter().all(|e| e.1 != call.id);
             room && apart
         };
-        let mut best: Option<(usize, Token)> = None;
+        let mut best: Option<((bool, usize), Token)> = None;
         for token in &engine.lines {
             let Some(line) = table.get(*token) else { continue };
-            let load = line.running.len();
+            let load = (line.channel.connecting, line.running.len());
             if best.is_none_or(|(least, _)| load < least) && fits(line) {
                 best = Some((load, *token));
             }
         }
-        let full = engine.lines.len() >= limits.pool || table.len() >= limits.lines;
-        if let Some((load, token)) = best {
-            if load == 0 || full {
-                return Ok(token);
-            }
-        }
-        // That there is no place for it here says nothing of whether the engine can be reached.
-        if full {
-            return Err(Ending::Full);
+        let full = self.is_full(&call.engine);
+        match best {
+            Some((load, token)) if load == (false, 0) || full => Ok(token),
+            // That there is no place for it here says nothing of whether the engine can be reached.
+            None if full => Err(Ending::Full),
+            _ => self.dial(now, &call.engine),
         }
-        let channel = Channel::connect(engine.address).map_err(|_| Ending::NotSent)?;
-        let until = now + limits.connect;
-        let line = |token| Line {
-            channel,
-            token,
-            running: HashMap::new(),
-            echoes: Vec::new(),
-            until,
-            answer_by: Time::INFINITY,
-            heard: now,
-            stale: false,
-            sending: None,
-        };
-        let token = table.add(|token| Some(line(token))).ok().flatten().ok_or(Ending::Full)?;
-        self.shared.timers.set(until, Alarm::Connection(token));
-        engine.lines.push(token);
-        Ok(token)
     }
 
     fn settle(&mut self, now: Time, token: Token) {
         self.table.settle(now, token, Flow::Open, &mut self.shared);
     }
 
-    fn begin(&mut self, now: Time, call: Call, moves: usize) {
+    /// Sends a call, or has it wait for its connection until `by` at the latest.
+    fn begin(&mut self, now: Time, call: Call, by: Time, moves: usize) {
         let mut reader = None;
         if let (Some(body), Some(spool)) = (&call.work.body, &self.shared.spool) {
             reader = spool.borrow_mut().reader(now, body);
@@ -228,12 +307,18 @@
                 return self.shared.news.push_back(ended(&call.id, call.attempt, Ending::Moot, None));
             }
         }
-        let token = match self.line_for(now, &call) {
+        let found = if now < by { self.line_for(now, &call) } else { Err(Ending::NotSent) };
+        let token = match found {
             Ok(token) => token,
             Err(ending) => {
                 return self.shared.news.push_back(ended(&call.id, call.attempt, ending, None));
             }
         };
+        self.put(now, token, call, reader, by, moves);
+    }
+
+    /// Puts a call on a connection.
+    fn put(&mut self, now: Time, token: Token, call: Call, reader: Option<Reader>, by: Time, moves: usize) {
         let Some(line) = self.table.get(token) else { return };
         let tag = match &reader {
             None => line.channel.push_counted(request(now, &call)),
@@ -246,17 +331,61 @@
         }
         self.calls.insert((call.id.clone(), call.attempt), token);
         let (pages, missing, size, report) = (Vec::new(), 0, 0, None);
-        let run = Running { sent: now, moves, tag, pages, missing, size, report, call };
-        line.running.insert(run.call.id.clone(), run);
+        let (id, attempt) = (call.id.clone(), call.attempt);
+        let run = Running { sent: now, by, moves, tag, pages, missing, size, report, call };
+        line.running.insert(id.clone(), run);
+        let connects = line.channel.connecting;
         let flow = line.send_on(now, &mut self.shared);
         self.table.settle(now, token, flow, &mut self.shared);
+        if connects {
+            let redial = now + self.shared.limits.redial;
+            self.shared.timers.set(redial, Alarm::Redial(id.clone(), attempt));
+        }
+        let queued = |line: &mut Line| line.running.contains_key(&id) && line.channel.queued() > 0;
+        if connects || self.table.get(token).is_some_and(queued) {
+            self.shared.timers.set(by, Alarm::Unsent(id, attempt));
+        }
+    }
+
+    /// Calls that wait go on. A connection that was up, and ended before a call went out, says nothing of the engine:
+    /// the call goes by another. One that has become free takes the call that has waited for longest.
+    fn send_waiting(&mut self, now: Time) {
+        loop {
+            if let Some(run) = self.shared.again.pop() {
+                self.begin(now, run.call, run.by, run.moves + 1);
+            } else if let Some(free) = self.shared.free.pop() {
+                self.relieve(now, free);
+            } else {
+                return;
+            }
+        }
     }
 
-    /// A connection that was up, and ended before a call went out, says nothing of the engine: the call goes
-    /// by another.
-    fn send_again(&mut self, now: Time) {
-        while let Some((call, moves)) = self.shared.again.pop() {
-            self.begin(now, call, moves);
+    /// Moves the call that waits for longest for a connection to that engine to this one, if it is idle.
+    fn relieve(&mut self, now: Time, free: Token) {
+        let idle = |line: &&mut Line| !line.channel.connecting && !line.stale && line.running.is_empty();
+        let Some(line) = self.table.get(free).filter(idle) else { return };
+        let (id, address) = (line.engine.clone(), line.address);
+        let Some(engine) = self.engines.get(&id).filter(|e| !e.is_closed(now) && e.address == address) else {
+            return self.table.close(now, free, &mut self.shared);
+        };
+        let mut longest: Option<(Time, Token, RequestId)> = None;
+        for token in &engine.lines {
+            let Some(line) = self.table.get(*token).filter(|line| line.channel.connecting) else { continue };
+            for (id, run) in &line.running {
+                if longest.as_ref().is_none_or(|(by, ..)| run.by < *by) && run.call.work.body.is_none() {
+                    longest = Some((run.by, *token, id.clone()));
+                }
+            }
+        }
+        let Some((_, token, id)) = longest else { return };
+        let barred = |line: &mut Line| line.echoes.iter().any(|echo| echo.0 > now && echo.1 == id);
+        if self.table.get(free).is_some_and(barred) {
+            return;
+        }
+        if let Some(run) = self.take_unsent(now, token, &id) {
+            self.put(now, free, run.call, None, run.by, run.moves);
+            self.spare_dials(now, token);
         }
     }
 }
@@ -268,7 +397,7 @@
 
     fn ready(&mut self, now: Time, ready: Ready) {
         self.table.ready(now, ready, &mut self.shared);
-        self.send_again(now);
+        self.send_waiting(now);
     }
 
     fn alarm(&mut self, now: Time) {
@@ -281,17 +410,21 @@
                         self.table.close(now, token, &mut self.shared);
                     }
                 }
+                Alarm::Redial(id, attempt) => self.redial(now, &id, attempt),
+                Alarm::Unsent(id, attempt) => self.unsent(now, &id, attempt),
                 Alarm::Drained(id) => self.drained(now, &id),
             }
         }
-        self.send_again(now);
+        self.send_waiting(now);
     }
 }
 
 impl Link for Resp {
     fn start(&mut self, now: Time, call: Call) {
-        self.begin(now, call, 0);
-        self.send_again(now);
+        let closes = self.engines.get(&call.engine).and_then(|e| e.closes).unwrap_or(Time::INFINITY);
+        let by = call.begins_by.min(now + self.shared.limits.connect).min(closes);
+        self.begin(now, call, by, 0);
+        self.send_waiting(now);
     }
 
     fn drop_call(&mut self, now: Time, id: &RequestId, attempt: u32) -> bool {
@@ -309,6 +442,7 @@
             return unsent;
         }
         if unsent {
+            self.spare_dials(now, token);
             return true;
         }
         // Silent since, or stopped in the middle: it may be of no more use.
@@ -363,6 +497,8 @@
 impl Connection for Line {
     type Shared = Shared;
 
+    const ANSWERS: bool = true;
+
     fn channel(&mut self) -> &mut Channel {
         &mut self.channel
     }
@@ -395,9 +531,29 @@
 
     fn writable(&mut self, now: Time, shared: &mut Shared) -> Flow {
         self.until = now + shared.limits.engine_idle;
+        if self.running.is_empty() {
+            shared.free.push(self.token);
+        }
         self.send_on(now, shared)
     }
 
+    /// Calls whose time to begin is over stay here: a process may have slept since they were queued.
+    fn before_write(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        let (channel, sending) = (&mut self.channel, &self.sending);
+        let mut flow = Flow::Open;
+        self.running.retain(|id, run| {
+            let late = run.by <= now && channel.take_back(run.tag);
+            if late {
+                shared.news.push_back(ended(id, run.call.attempt, Ending::NotSent, None));
+                if sending.as_ref().is_some_and(|s| s.id == *id) {
+                    flow = Flow::Close; // what is queued of its body must not go out
+                }
+            }
+            !late
+        });
+        flow
+    }
+
     fn has_more(&self) -> bool {
         self.sending.as_ref().is_some_and(|sending| !sending.waits)
     }
@@ -410,10 +566,14 @@
             let unsent = self.channel.take_back(run.tag);
             let was_up = !self.channel.connecting || self.channel.reset;
             if unsent && was_up && run.moves < shared.limits.moves {
-                shared.again.push((run.call, run.moves + 1));
+                shared.again.push(run);
                 continue;
             }
-            let ending = if unsent { Ending::NotSent } else { Ending::Broken };
+            let ending = match unsent {
+                true if self.channel.refused => Ending::Refused,
+                true => Ending::NotSent,
+                false => Ending::Broken,
+            };
             shared.news.push_back(ended(&id, run.call.attempt, ending, None));
         }
     }
@@ -556,6 +716,7 @@
         shared.news.push_back(ended(id, run.call.attempt, ending, report));
         if self.running.is_empty() {
             self.until = now + shared.limits.engine_idle;
+            shared.free.push(self.token);
         }
     }
 }
--- a/src/net/channel.rs
+++ b/src/net/channel.rs
@@ -51,10 +51,14 @@
     queued: usize,
     next_tag: u64,
     pub connecting: bool,
+    /// Bytes that have come.
+    pub received: u64,
     /// Messages that count, of those that have gone out whole.
     pub whole: u64,
     /// It was reset before it came up here: its peer had taken it.
     pub reset: bool,
+    /// Nobody listens where it was to connect to.
+    pub refused: bool,
 }
 
 impl Channel {
@@ -88,8 +92,10 @@
             queued: 0,
             next_tag: 0,
             connecting,
+            received: 0,
             whole: 0,
             reset: false,
+            refused: false,
         }
     }
 
@@ -165,6 +171,7 @@
         match self.stream.read(&mut buffer) {
             Ok(0) => Ok(Fill::End),
             Ok(count) => {
+                self.received += count as u64;
                 self.input.extend_from_slice(&buffer[..count]);
                 Ok(Fill::Bytes)
             }
@@ -179,6 +186,7 @@
     pub fn connected(&mut self) -> io::Result<()> {
         let error = rustix::net::sockopt::socket_error(&self.stream)?;
         self.reset = error == Err(rustix::io::Errno::CONNRESET);
+        self.refused = error == Err(rustix::io::Errno::CONNREFUSED);
         self.connecting = error.is_err();
         Ok(error?)
     }
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -20,6 +20,9 @@
 pub trait Connection {
     type Shared;
 
+    /// The peer answers: what it has sent counts even after it has gone. Who asks and goes has nothing more to say.
+    const ANSWERS: bool = false;
+
     fn channel(&mut self) -> &mut Channel;
 
     /// New bytes stand in the channel's input.
@@ -28,6 +31,11 @@
     /// The connection came up, or the socket took bytes.
     fn writable(&mut self, now: Time, shared: &mut Self::Shared) -> Flow;
 
+    /// The socket takes bytes, and what is queued is about to go out: the place to take back what must not any more.
+    fn before_write(&mut self, _: Time, _: &mut Self::Shared) -> Flow {
+        Flow::Open
+    }
+
     /// Nothing is read for now: there is no room for it.
     fn is_paused(&self) -> bool {
         false
@@ -42,6 +50,9 @@
     fn closed(&mut self, now: Time, shared: &mut Self::Shared);
 }
 
+/// Reads after which one that takes no bytes any more is heard no further.
+const READS: usize = 64;
+
 struct Slot<C> {
     turn: u32,
     open: Option<Open<C>>,
@@ -130,7 +141,12 @@
     pub fn settle(&mut self, now: Time, token: Token, flow: Flow, shared: &mut C::Shared) {
         let Some(open) = self.open(token) else { return };
         open.finishing |= flow == Flow::Finish;
-        if flow == Flow::Close || open.push_out().is_err() {
+        let mut over = flow == Flow::Close;
+        if !over && open.push_out().is_err() {
+            open.read_rest(now, shared);
+            over = true;
+        }
+        if over {
             return self.close(now, token, shared);
         }
         // A connection with bytes unwritten and a full input is read on: a close must be seen. What is read
@@ -165,26 +181,52 @@
 
 impl<C: Connection> Open<C> {
     fn step(&mut self, now: Time, ready: Ready, shared: &mut C::Shared) -> Flow {
-        let mut flow = Flow::Open;
-        if ready.writable {
-            let channel = self.connection.channel();
-            if channel.connecting && channel.connected().is_err() || channel.flush().is_err() {
+        let channel = self.connection.channel();
+        if channel.connecting {
+            if !ready.writable {
+                return Flow::Open;
+            }
+            if channel.connected().is_err() {
                 return Flow::Close;
             }
-            flow = self.connection.writable(now, shared);
         }
-        if ready.readable && flow == Flow::Open {
-            let channel = self.connection.channel();
-            match channel.fill() {
-                Ok(Fill::Bytes) if self.finishing => channel.input.clear(),
-                Ok(Fill::Bytes) => flow = self.connection.readable(now, shared),
-                Ok(Fill::Nothing) => {}
-                Ok(Fill::End) | Err(_) => flow = Flow::Close,
+        // What the peer sent counts before what becomes of a write: one that has answered and gone takes no bytes.
+        let mut flow = if ready.readable { self.read(now, shared) } else { Flow::Open };
+        if ready.writable && flow == Flow::Open {
+            flow = self.connection.before_write(now, shared);
+            if flow == Flow::Open && self.connection.channel().flush().is_err() {
+                self.read_rest(now, shared);
+                return Flow::Close;
+            }
+            if flow == Flow::Open {
+                flow = self.connection.writable(now, shared);
             }
         }
         flow
     }
 
+    /// Reads once.
+    fn read(&mut self, now: Time, shared: &mut C::Shared) -> Flow {
+        let channel = self.connection.channel();
+        match channel.fill() {
+            Ok(Fill::Bytes) if self.finishing => channel.input.clear(),
+            Ok(Fill::Bytes) => return self.connection.readable(now, shared),
+            Ok(Fill::Nothing) => {}
+            Ok(Fill::End) | Err(_) => return Flow::Close,
+        }
+        Flow::Open
+    }
+
+    /// The peer takes no bytes any more: reads what it sent before.
+    fn read_rest(&mut self, now: Time, shared: &mut C::Shared) {
+        for _ in 0..if C::ANSWERS { READS } else { 0 } {
+            let before = self.connection.channel().received;
+            if self.read(now, shared) != Flow::Open || self.connection.channel().received == before {
+                break;
+            }
+        }
+    }
+
     /// Writes; once a finishing connection has written all, its side is shut down.
     fn push_out(&mut self) -> io::Result<()> {
         let channel = self.connection.channel();
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -1,7 +1,8 @@
 //! Plays the recorded byte exchanges in `tests/exchanges` against the program. A step a line:
 //!
 //! - `start e1 e2`: the program starts and knows these engines; `mysql`, `consul` and
-//!   `store` switch these on, `memory`, `files` or `nothing` has it keep bodies over 10 bytes there, `inherits` has it inherit its listening socket; `again`: the program starts once more,
+//!   `store` switch these on, `memory`, `files` or `nothing` has it keep bodies over 10 bytes there, `inherits` has it inherit its listening socket,
+//!   `patient` has calls wait for a connection for as long as it takes, `brief` makes its window for repeats 0.5 s; `again`: the program starts once more,
 //!   with what it has left behind; `beside`: the same beside the first, which is `old` from then on, as in
 //!   `old signal TERM`;
 //! - `a > bytes`, `a < bytes`: client `a` of the platform's front sends, or receives exactly that;
@@ -9,7 +10,8 @@
 //!   member of the store that is watched, `s...` an operator's connection to it, `o...` one to the operators' door;
 //! - `e1+` is another connection to that engine, beside the first;
 //! - `a ended`, `a close`: its connection was ended, or it ends it; `e1 next`: the engine's next connection;
-//! - `e1 gone`: nobody listens there any more;
+//! - `e1 gone`: nobody listens there any more; `e1 deaf`: connections to it do not come up; `e1 hears`: they do again, those
+//!   that have waited within a second; `e1 up`: the engine's next connection comes up, and stays;
 //! - `crowd 200`: so many clients ask for the health and stay; `moves`: the directory has another address, and the
 //!   configuration names it; `spoils`: the configuration is none any more;
 //! - `stalls maintenance.json`: whoever opens that file waits;
@@ -60,6 +62,10 @@
     streams: HashMap<String, TcpStream>,
     names: std::net::UdpSocket,
     crowd: Vec<TcpStream>,
+    /// Changes to the settings.
+    settings: Vec<(&'static str, &'static str)>,
+    /// What fills the lines of engines that are deaf.
+    fillers: HashMap<String, TcpStream>,
     asker: Option<SocketAddr>,
 }
 
@@ -71,7 +77,8 @@
     }
 
     fn config(&self) -> String {
-        config(&self.known(), self.names.local_addr().expect("bound"))
+        let config = config(&self.known(), self.names.local_addr().expect("bound"));
+        self.settings.iter().fold(config, |config, (from, to)| config.replace(from, to))
     }
 
     fn pieces(&self, text: &str) -> Vec<Piece> {
@@ -186,6 +193,12 @@
                 let listens = parts.iter().filter(|part| part.starts_with(['e', 'p']) || **part == "consul");
                 self.engines = listens.map(|id| (id.to_string(), Named::new(id))).collect();
                 self.ports = self.engines.iter().map(|(id, e)| (id.clone(), e.address().port())).collect();
+                if parts.contains(&"patient") {
+                    self.settings.push((r#""connectTimeout":0.25"#, r#""connectTimeout":60"#));
+                }
+                if parts.contains(&"brief") {
+                    self.settings.push((r#""memorySpan":20"#, r#""memorySpan":0.5"#));
+                }
                 let known = self.known();
                 let mut files = Vec::new();
                 if parts.contains(&"mysql") {
@@ -277,6 +290,19 @@
                 assert!(ended, "{who} is still open: {read:?}");
             }
             (who, "close") | (who, "next") => drop(self.streams.remove(who)),
+            (who, "deaf") => {
+                let engine = &self.engines[who];
+                // One more connection than the line has places for, and the kernel drops what comes.
+                rustix::net::listen(&engine.listener, 0).expect("a shorter line");
+                let filler = TcpStream::connect(engine.address()).expect("connected");
+                self.fillers.insert(who.into(), filler);
+            }
+            (who, "hears") => {
+                let listener = &self.engines[who].listener;
+                rustix::net::listen(listener, 128).expect("a longer line");
+                drop((listener.accept().expect("the filler"), self.fillers.remove(who)));
+            }
+            (who, "up") => drop(self.stream(who).set_nodelay(true)),
             (who, "gone") => {
                 self.streams.remove(who);
                 self.engines.remove(who);
@@ -299,6 +325,8 @@
         streams: HashMap::new(),
         names: names(),
         crowd: Vec::new(),
+        settings: Vec::new(),
+        fillers: HashMap::new(),
         asker: None,
     };
     for step in joined.lines().filter(|line| !line.is_empty() && !line.starts_with('#')) {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -192,6 +192,40 @@
     assert!(cold <= 2.0 * 0.3 * 8000.0, "{cold}");
 }
 
+#[test]
+fn engines_that_are_slow_to_connect_are_not_taken_for_cold_ones() {
+    let served = |outcome: Outcome| {
+        let mut w = World::new(lookups(), &["e1", "e2"]);
+        // All that went to either went unsent once, and is served then.
+        for n in 0..2 {
+            let (id, at) = (format!("r{n}"), w.query_with(on(&format!("r{n}"), n)));
+            assert_eq!(sent_to(&at).len(), 1);
+            w.end(&id, 0, outcome);
+            w.end(&id, 1, outcome);
+        }
+        (0..100).map(|n| sent_to(&w.query_with(on(&format!("s{n}"), n))).len()).sum::<usize>()
+    };
+    let (silent, refused) = (served(Outcome::Unsent), served(Outcome::Unreachable));
+    assert!(silent >= 100 && refused < 60, "{silent} and {refused} of 100");
+}
+
+#[test]
+fn a_keyed_repeat_says_until_when_it_may_go_out() {
+    let mut w = World::new(settings(vec![class("load", Effect::Keyed)]), &["e1", "e2"]);
+    let within = |out: &[Action]| match out.iter().find(|a| matches!(a, Action::Send { .. })) {
+        Some(Action::Send { within, .. }) => *within,
+        _ => panic!("nothing is sent: {out:?}"),
+    };
+    assert_eq!(within(&w.query_with(on("r", 1))), None, "nothing has run");
+    w.now += 1.0;
+    let out = w.end("r", 0, Outcome::Unsent);
+    assert_eq!(within(&out), None, "nothing has run still");
+    w.now += 1.0;
+    let out = w.end("r", 1, Outcome::Reset);
+    let left = within(&out).expect("the window of the second runs");
+    assert!(left > 3.9 && left < 4.0, "{left}");
+}
+
 #[test]
 fn a_retry_storm_after_refusals_meets_the_same_bound() {
     let mut w = World::new(lookups(), &["e1"]);
