--- a/src/console/mod.rs
+++ b/src/console/mod.rs
@@ -1,8 +1,8 @@
 //! The operators' door: HTTP/1.1, one call a connection. It decodes calls and encodes answers; the daemon
 //! carries them out.
 
-use crate::front::hall::{Desk, Guest, Hall};
 use crate::front::http::{self, Bad, Read};
+use crate::front::server::{ClientConnection, Server, State};
 use crate::limits::Limits;
 use crate::net::{Channel, Connection, Flow, Poller, Time, Token};
 use dahliaspoke::interface::EngineId;
@@ -24,7 +24,7 @@
 
 /// What all callers have in common.
 pub struct Shared {
-    desk: Desk,
+    state: State,
     commands: VecDeque<(Token, Command)>,
 }
 
@@ -38,11 +38,11 @@
     called: bool,
 }
 
-pub type Console = Hall<Caller>;
+pub type Console = Server<Caller>;
 
 impl Console {
     pub fn open(part: u8, socket: TcpListener, poller: Rc<Poller>, limits: Rc<Limits>) -> io::Result<Self> {
-        Self::new(part, socket, Shared { desk: Desk::new(0, limits), commands: VecDeque::new() }, poller)
+        Self::new(part, socket, Shared { state: State::new(0, limits), commands: VecDeque::new() }, poller)
     }
 
     /// The next call, and whose it is.
@@ -56,9 +56,9 @@
     }
 }
 
-impl Guest for Caller {
-    fn welcome(now: Time, channel: Channel, token: Token, shared: &Shared) -> Option<Self> {
-        Some(Caller { channel, token, since: now, until: now + shared.desk.limits.call, called: false })
+impl ClientConnection for Caller {
+    fn accepted(now: Time, channel: Channel, token: Token, shared: &Shared) -> Option<Self> {
+        Some(Caller { channel, token, since: now, until: now + shared.state.limits.call, called: false })
     }
 
     fn until(&self) -> Option<Time> {
@@ -77,8 +77,8 @@
         Some((self.called && self.channel.queued() > 0, self.since))
     }
 
-    fn desk(shared: &mut Shared) -> &mut Desk {
-        &mut shared.desk
+    fn state(shared: &mut Shared) -> &mut State {
+        &mut shared.state
     }
 
     fn most(limits: &Limits) -> usize {
@@ -98,7 +98,7 @@
             self.channel.input.clear();
             return Flow::Open;
         }
-        let status = match http::read(&self.channel.input, &shared.desk.limits) {
+        let status = match http::read(&self.channel.input, &shared.state.limits) {
             Ok(Read::Partial { .. }) => return Flow::Open,
             Ok(Read::Large { .. }) => 413,
             Ok(Read::Whole(call, _)) => match command(&call.method, &call.path) {
@@ -126,8 +126,8 @@
         self.called = true;
         self.channel.input = Vec::new();
         self.channel.push(http::text(status, text));
-        self.until = now + shared.desk.limits.linger;
-        shared.desk.look(self.until, self.token);
+        self.until = now + shared.state.limits.linger;
+        shared.state.look(self.until, self.token);
         Flow::Finish
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -117,7 +117,7 @@
 
 /// What fronts tell the core.
 #[derive(Debug)]
-pub enum Wish {
+pub enum FrontEvent {
     Ask(Ask),
     /// The client has gone; no answer is owed.
     Left(RequestId),
@@ -291,14 +291,14 @@
     }
 
     /// Takes what a front brings.
-    pub fn wish(&mut self, now: Time, wish: Wish, doors: &mut [Door]) {
-        match wish {
-            Wish::Ask(ask) => self.ask(now, ask, doors),
-            Wish::TurnedAway(class) => {
+    pub fn front_event(&mut self, now: Time, event: FrontEvent, doors: &mut [Door]) {
+        match event {
+            FrontEvent::Ask(ask) => self.ask(now, ask, doors),
+            FrontEvent::TurnedAway(class) => {
                 self.counters.taken += 1;
                 self.counters.answers[class].refused += 1;
             }
-            Wish::Left(id) => {
+            FrontEvent::Left(id) => {
                 let Some(request) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
                 request.over = true;
                 self.open -= 1;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -4,7 +4,7 @@
 use crate::bodies::{self, Bodies};
 use crate::config::{optional, Config};
 use crate::console::{Command, Console};
-use crate::core::{Core, Door, Link, Trace, Wish};
+use crate::core::{Core, Door, FrontEvent, Link, Trace};
 use crate::front::mysql::MysqlFront;
 use crate::front::platform::Platform;
 use crate::limits::Limits;
@@ -111,7 +111,7 @@
     /// The platform holds the clients' listening socket, and another process takes this one's place.
     in_pairs: bool,
     /// After SIGTERM: until when the program stays in any case.
-    farewell: Option<Time>,
+    grace: Option<Time>,
     /// After SIGTERM, where another process takes over: when all that is open is given up.
     handover: Time,
 }
@@ -211,7 +211,7 @@
             spool,
             source,
             platform,
-            farewell: None,
+            grace: None,
             handover: Time::INFINITY,
         };
         if let Some(store) = &mut daemon.store {
@@ -306,7 +306,7 @@
     fn next(&mut self, now: Time) -> Time {
         let parts = self.parts().filter_map(|(_, part)| part.next()).fold(f64::INFINITY, f64::min);
         let own =
-            [self.core.next(), self.farewell.filter(|at| *at > now), Some(self.handover), Some(self.look_at)];
+            [self.core.next(), self.grace.filter(|at| *at > now), Some(self.handover), Some(self.look_at)];
         own.into_iter().flatten().fold(parts, f64::min)
     }
 
@@ -381,14 +381,14 @@
                 continue;
             }
             let mysql = &mut self.mysql;
-            let wish = self.platform.take().or_else(|| mysql.as_mut().and_then(|(front, _)| front.take()));
-            if let Some(mut wish) = wish {
-                if let Wish::Ask(ask) = &mut wish {
+            let event = self.platform.take().or_else(|| mysql.as_mut().and_then(|(front, _)| front.take()));
+            if let Some(mut event) = event {
+                if let FrontEvent::Ask(ask) = &mut event {
                     // A client's time runs from when it asked, and that may have been before a sleep.
                     ask.deadline -= now - self.sleep.came(now);
                 }
                 let (core, mut doors) = self.doors();
-                core.wish(now, wish, &mut doors);
+                core.front_event(now, event, &mut doors);
                 continue;
             }
             let news = self.resp.take().or_else(|| mysql.as_mut().and_then(|(_, link)| link.take()));
@@ -531,7 +531,7 @@
     fn commands(&mut self, now: Time) {
         while let Some((token, command)) = self.console.as_mut().and_then(Console::command) {
             let (status, text) = match command {
-                Command::Health if self.farewell.is_some() => (503, "leaving\n".to_string()),
+                Command::Health if self.grace.is_some() => (503, "leaving\n".to_string()),
                 Command::Health => (200, "ok\n".to_string()),
                 Command::Stats => (200, self.stats(now)),
                 Command::Ban(id) => self.maintain(now, id, true),
@@ -551,12 +551,12 @@
                 Ok(said) => tracing::info!(at = now, "{said}"),
                 Err(e) => tracing::info!(at = now, "the old configuration stays: {e}"),
             }
-        } else if self.farewell.is_none() {
+        } else if self.grace.is_none() {
             // The front goes on sending for a while: what comes is still served.
-            self.farewell = Some(now + self.limits.farewell);
-            self.platform.last_upload(now + self.limits.farewell);
+            self.grace = Some(now + self.limits.grace);
+            self.platform.last_upload(now + self.limits.grace);
             if let Some((front, _)) = &mut self.mysql {
-                front.last_upload(now + self.limits.farewell);
+                front.last_upload(now + self.limits.grace);
             }
             if self.in_pairs {
                 // The other process has the listening socket as well, and takes what comes.
@@ -578,14 +578,14 @@
     /// After SIGTERM, once clients have had time to notice and every answer is out. New connections are taken
     /// to the end: one that the kernel took, and nobody here, would be lost.
     fn is_over(&mut self, now: Time) -> bool {
-        let Some(farewell) = self.farewell else { return false };
+        let Some(grace) = self.grace else { return false };
         let alone = self.in_pairs && self.platform.is_empty();
-        if now < farewell && !alone {
+        if now < grace && !alone {
             return false;
         }
         let mut idle = self.platform.idle();
         if let Some((front, _)) = &mut self.mysql {
-            idle &= front.idle() && (now >= farewell || front.is_empty());
+            idle &= front.idle() && (now >= grace || front.is_empty());
         }
         idle && self.core.open() == 0
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,7 +1,7 @@
 //! Where requests come from. A front decodes requests and encodes answers; it decides nothing.
 
-pub mod hall;
 pub mod http;
 pub mod mysql;
 pub mod platform;
+pub mod server;
 mod sql;
--- a/src/front/mysql/large.rs
+++ b/src/front/mysql/large.rs
@@ -123,7 +123,7 @@
 
     /// Length and number of the packet at the start of the input, if it is one that does not come at once.
     pub fn large_packet(&self, shared: &Shared) -> Option<(usize, u8)> {
-        let limits = &shared.desk.limits;
+        let limits = &shared.state.limits;
         packet::header(&self.channel.input).filter(|(length, _)| limits.large > 0 && *length > limits.body)
     }
 
@@ -131,7 +131,7 @@
     pub fn begin_large(&mut self, now: Time, length: usize, sequence: u8, shared: &mut Shared) -> Flow {
         let head = packet::HEADER + length.min(HEAD);
         if self.channel.input.len() < head {
-            self.until = self.until.min(now + shared.desk.limits.call);
+            self.until = self.until.min(now + shared.state.limits.call);
             return Flow::Open;
         }
         self.answer_from = sequence.wrapping_add(1);
@@ -147,7 +147,7 @@
             Err(Malformed) => return self.end(now, self.answer_from, super::malformed(), shared),
         };
         self.large = Some(Large { left: length - used, goes_on: length == SPLIT, target, full: false });
-        shared.desk.uploads += 1;
+        shared.state.uploads += 1;
         // What was looked at and not used is taken like the rest.
         let rest = start.len() - used;
         self.channel.input.splice(..0, start[start.len() - rest..].iter().copied());
@@ -241,8 +241,8 @@
         shared: &mut Shared,
     ) -> Result<(usize, Target), Refusal> {
         let spool = shared.spool.clone().ok_or_else(too_large)?;
-        let by = now + shared.desk.limits.upload + time;
-        let open = now < shared.desk.last_upload;
+        let by = now + shared.state.limits.upload + time;
+        let open = now < shared.state.last_upload;
         // Its length may be known, and still it is asked for as one that is not: it must be kept.
         if (length.unwrap_or(SPLIT) - used) as u64 > spool.borrow().largest(ask.class) {
             return Err(too_large());
@@ -255,7 +255,7 @@
             }
             Err(NoPlace::TooLarge) => Err(too_large()),
             Ok(_) | Err(NoPlace::NoRoom) => {
-                shared.desk.turned_away(ask.class);
+                shared.state.turned_away(ask.class);
                 Err(busy(shared))
             }
         }
@@ -274,7 +274,7 @@
             self.channel.input.drain(..taken);
             large.left -= taken;
             if taken > 0 {
-                self.until = now + shared.desk.limits.stall;
+                self.until = now + shared.state.limits.stall;
             }
             if large.left > 0 {
                 large.full = taken < count;
@@ -315,7 +315,7 @@
 
     /// Nothing more of a payload is taken.
     fn end_large(&mut self, large: &Large, shared: &mut Shared) {
-        shared.desk.uploads -= 1;
+        shared.state.uploads -= 1;
         if let Target::Request { body, .. } = &large.target {
             shared.uploads.remove(&body.id());
         }
@@ -337,8 +337,8 @@
 
     /// All of a payload has come.
     fn whole(&mut self, now: Time, large: Large, shared: &mut Shared) -> Flow {
-        shared.desk.uploads -= 1;
-        self.until = now + shared.desk.limits.session_idle;
+        shared.state.uploads -= 1;
+        self.until = now + shared.state.limits.session_idle;
         let Target::Request { body, mut ask, time, values } = large.target else {
             return self.next_packet(now, shared);
         };
@@ -390,8 +390,8 @@
         };
         let here: usize =
             self.parameters.values().map(|p| if let Parameter::Here(b) = p { b.len() } else { 0 }).sum();
-        let many = self.parameters.len() >= shared.desk.limits.statements;
-        let most = shared.desk.limits.body;
+        let many = self.parameters.len() >= shared.state.limits.statements;
+        let most = shared.state.limits.body;
         let held = self.parameters.entry(place).or_insert_with(|| match many {
             true => Parameter::Lost,
             false => Parameter::Here(Vec::new()),
@@ -408,7 +408,7 @@
         };
         if let Parameter::Here(held_here) = held {
             // It has outgrown the door's own room.
-            let by = now + shared.desk.limits.session_idle;
+            let by = now + shared.state.limits.session_idle;
             let begun = std::mem::take(held_here);
             let taken = spool.borrow_mut().admit_open(now, class, by);
             *held = match taken {
@@ -432,7 +432,7 @@
         self.channel.input.splice(..0, rest.iter().copied());
         let target = Target::Parameter(place.0, place.1);
         self.large = Some(Large { left: rest.len(), goes_on: false, target, full: true });
-        shared.desk.uploads += 1;
+        shared.state.uploads += 1;
     }
 
     /// Parameters that came ahead of an execution which does not come.
@@ -472,7 +472,7 @@
             Wake::Room(_) => {
                 if let Some(large) = &mut self.large {
                     large.full = false;
-                    self.until = now + shared.desk.limits.stall;
+                    self.until = now + shared.state.limits.stall;
                 }
                 self.take_large(now, shared)
             }
@@ -518,7 +518,7 @@
                         return self.end(now, self.answer_from, too_large(), shared);
                     }
                     (large.target, large.full) = (Target::Nothing, false);
-                    shared.desk.turned_away(class);
+                    shared.state.turned_away(class);
                     let refusal = busy(shared);
                     self.push(self.answer_from, &[refusal.encode()]);
                     return self.take_large(now, shared);
@@ -529,13 +529,13 @@
     }
 
     fn turn_away(&mut self, now: Time, class: usize, shared: &mut Shared) -> Flow {
-        shared.desk.turned_away(class);
-        self.push(self.answer_from, &encode(Answer::Refused(shared.desk.limits.come_back), false));
+        shared.state.turned_away(class);
+        self.push(self.answer_from, &encode(Answer::Refused(shared.state.limits.come_back), false));
         self.next_packet(now, shared)
     }
 }
 
 /// There is no room now.
 fn busy(shared: &Shared) -> Refusal {
-    super::refused(shared.desk.limits.come_back)
+    super::refused(shared.state.limits.come_back)
 }
--- a/src/front/mysql/mod.rs
+++ b/src/front/mysql/mod.rs
@@ -4,7 +4,7 @@
 mod large;
 mod setup;
 
-use super::hall::{Desk, Guest, Hall};
+use super::server::{ClientConnection, Server, State};
 use super::sql;
 use crate::bodies;
 use crate::core::{Answer, Ask, Front, Work};
@@ -29,7 +29,7 @@
 
 /// What all sessions have in common.
 pub struct Shared {
-    desk: Desk,
+    state: State,
     config: Rc<Mysql>,
     /// Name and give-up time (seconds) by class.
     classes: Vec<(Arc<str>, f64)>,
@@ -106,7 +106,7 @@
 }
 
 /// The MySQL front.
-pub type MysqlFront = Hall<Session>;
+pub type MysqlFront = Server<Session>;
 
 impl MysqlFront {
     pub fn open(
@@ -118,26 +118,26 @@
         poller: Rc<Poller>,
         limits: Rc<Limits>,
     ) -> io::Result<Self> {
-        let (socket, desk) = (TcpListener::bind(config.listen)?, Desk::new(door, limits));
+        let (socket, state) = (TcpListener::bind(config.listen)?, State::new(door, limits));
         let classes = settings.classes.iter().map(|c| (c.name.as_str().into(), c.give_up)).collect();
         let uploads = HashMap::new();
-        Self::new(part, socket, Shared { desk, config, classes, requests: 0, spool, uploads }, poller)
+        Self::new(part, socket, Shared { state, config, classes, requests: 0, spool, uploads }, poller)
     }
 
     /// Something has become of a body.
     pub fn wake(&mut self, now: Time, body: BodyId, wake: &Wake) {
         let Some(token) = self.shared.uploads.get(&body).copied() else { return };
-        Hall::reply(self, now, token, |session, shared| session.woken(now, body, wake, shared));
+        Server::reply(self, now, token, |session, shared| session.woken(now, body, wake, shared));
     }
 
     /// Large bodies are not begun after this.
     pub fn last_upload(&mut self, at: Time) {
-        self.shared.desk.last_upload = at;
+        self.shared.state.last_upload = at;
     }
 }
 
-impl Guest for Session {
-    fn welcome(now: Time, mut channel: Channel, token: Token, shared: &Shared) -> Option<Self> {
+impl ClientConnection for Session {
+    fn accepted(now: Time, mut channel: Channel, token: Token, shared: &Shared) -> Option<Self> {
         let mut challenge = [0; auth::CHALLENGE];
         getrandom::fill(&mut challenge).ok()?; // without a challenge nobody can be let in
                                                // A zero byte would end it, and a dollar sign is read otherwise by some.
@@ -158,7 +158,7 @@
             answer_from: 1,
             deadline: 0.0,
             since: now,
-            until: now + shared.desk.limits.call,
+            until: now + shared.state.limits.call,
         })
     }
 
@@ -175,8 +175,8 @@
         (self.stage != Stage::Ready).then_some((false, self.since))
     }
 
-    fn desk(shared: &mut Shared) -> &mut Desk {
-        &mut shared.desk
+    fn state(shared: &mut Shared) -> &mut State {
+        &mut shared.state
     }
 
     fn most(limits: &Limits) -> usize {
@@ -208,10 +208,10 @@
 
 impl Front for MysqlFront {
     fn answer(&mut self, now: Time, id: &RequestId, answer: Answer) {
-        Hall::answer(self, now, id, |session, shared| {
+        Server::answer(self, now, id, |session, shared| {
             session.open = None;
-            session.until = now + shared.desk.limits.session_idle;
-            let late = now + shared.desk.limits.late >= session.deadline;
+            session.until = now + shared.state.limits.session_idle;
+            let late = now + shared.state.limits.late >= session.deadline;
             session.push(session.answer_from, &encode(answer, late));
             session.next_packet(now, shared)
         });
@@ -259,7 +259,7 @@
         }
         if self.open.is_some() || self.pending.is_some() {
             // Commands sent ahead wait here, but not without bound.
-            return if self.channel.input.len() > 2 * shared.desk.limits.body {
+            return if self.channel.input.len() > 2 * shared.state.limits.body {
                 Flow::Close
             } else {
                 Flow::Open
@@ -279,7 +279,7 @@
     fn closed(&mut self, _: Time, shared: &mut Shared) {
         self.drop_large(shared);
         if let Some(id) = self.open.take() {
-            shared.desk.left(id);
+            shared.state.left(id);
         }
     }
 }
@@ -299,7 +299,7 @@
     /// Reads packets until one needs the core, or no whole one is left.
     fn next_packet(&mut self, now: Time, shared: &mut Shared) -> Flow {
         while self.open.is_none() && self.pending.is_none() && self.large.is_none() {
-            if self.channel.queued() > shared.desk.limits.unread {
+            if self.channel.queued() > shared.state.limits.unread {
                 return Flow::Close;
             }
             self.answer_from = 1;
@@ -308,11 +308,11 @@
                     return self.begin_large(now, length, sequence, shared);
                 }
             }
-            let (sequence, payload) = match packet::read(&self.channel.input, shared.desk.limits.body) {
+            let (sequence, payload) = match packet::read(&self.channel.input, shared.state.limits.body) {
                 Ok(None) => {
                     // What has begun must end: an unfinished packet is no idle session.
                     if !self.channel.input.is_empty() {
-                        self.until = self.until.min(now + shared.desk.limits.call);
+                        self.until = self.until.min(now + shared.state.limits.call);
                     }
                     return Flow::Open;
                 }
@@ -334,7 +334,7 @@
                 Stage::Switched => Ok(self.prove(next, &payload, shared)),
             };
             if self.stage == Stage::Ready {
-                self.until = now + shared.desk.limits.session_idle;
+                self.until = now + shared.state.limits.session_idle;
             }
             match done {
                 Ok(None) => {}
@@ -348,10 +348,10 @@
 
     /// Says why, and closes.
     fn end(&mut self, now: Time, sequence: u8, refusal: Refusal, shared: &mut Shared) -> Flow {
-        shared.desk.bad += 1;
+        shared.state.bad += 1;
         self.push(sequence, &[refusal.encode()]);
-        self.until = now + shared.desk.limits.linger;
-        shared.desk.look(self.until, self.token);
+        self.until = now + shared.state.limits.linger;
+        shared.state.look(self.until, self.token);
         Flow::Finish
     }
 
@@ -476,8 +476,8 @@
             Ok(statement) => statement,
             Err(refusal) => return Ok(Some(refusal)),
         };
-        if self.statements.len() >= shared.desk.limits.statements {
-            let most = shared.desk.limits.statements;
+        if self.statements.len() >= shared.state.limits.statements {
+            let most = shared.state.limits.statements;
             let message =
                 format!("Can't create more than max_prepared_stmt_count statements (current value: {most})");
             return Ok(Some(Refusal(1461, "42000", message)));
@@ -548,7 +548,7 @@
         };
         shared.requests += 1;
         Ask {
-            door: shared.desk.door,
+            door: shared.state.door,
             id: format!("mysql-{:x}", shared.requests).into(),
             class: statement.class,
             deadline: Time::INFINITY,
@@ -568,16 +568,16 @@
 
     /// Hands a request on to the core. Its time runs from now.
     fn hand_on(&mut self, now: Time, mut ask: Ask, time: f64, shared: &mut Shared) {
-        self.deadline = now + time.min(shared.desk.limits.allow);
+        self.deadline = now + time.min(shared.state.limits.allow);
         ask.deadline = self.deadline;
         self.open = Some(ask.id.clone());
-        shared.desk.ask(self.token, ask);
+        shared.state.ask(self.token, ask);
     }
 }
 
 /// The largest packet that is taken.
 fn most(shared: &Shared) -> usize {
-    shared.desk.limits.body.max(shared.desk.limits.large)
+    shared.state.limits.body.max(shared.state.limits.large)
 }
 
 fn unknown(id: u32, place: &str) -> Refusal {
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -4,8 +4,8 @@
 
 mod upload;
 
-use super::hall::{Desk, Guest, Hall};
 use super::http::{self, Bad, Call, Read};
+use super::server::{ClientConnection, Server, State};
 use super::sql;
 use crate::bodies;
 use crate::core::{Answer, Ask, Front, Parts, Work};
@@ -22,7 +22,7 @@
 
 /// What all client connections have in common.
 pub struct Shared {
-    desk: Desk,
+    state: State,
     classes: Vec<Arc<str>>,
     /// Keeps large bodies, where the deployment has that.
     spool: Option<bodies::Shared>,
@@ -49,7 +49,7 @@
 }
 
 /// The platform's front.
-pub type Platform = Hall<Client>;
+pub type Platform = Server<Client>;
 
 impl Platform {
     pub fn open(
@@ -61,20 +61,20 @@
         poller: Rc<Poller>,
         limits: Rc<Limits>,
     ) -> io::Result<Self> {
-        let (desk, uploads) = (Desk::new(door, limits), HashMap::new());
-        Self::new(part, socket, Shared { desk, classes, spool, uploads }, poller)
+        let (state, uploads) = (State::new(door, limits), HashMap::new());
+        Self::new(part, socket, Shared { state, classes, spool, uploads }, poller)
     }
 }
 
 impl Front for Platform {
     fn answer(&mut self, now: Time, id: &RequestId, answer: Answer) {
-        Hall::answer(self, now, id, |client, shared| {
+        Server::answer(self, now, id, |client, shared| {
             client.open = None;
             // What still comes of its body is of no more use, and nothing behind it is read.
             client.stays &= client.upload.is_none();
             client.end_upload(shared);
             client.rest(now, shared);
-            client.stays &= !shared.desk.leaving;
+            client.stays &= !shared.state.leaving;
             client.channel.push(encode(answer, client.stays));
             if client.stays {
                 client.next_call(now, shared)
@@ -85,10 +85,10 @@
     }
 }
 
-impl Guest for Client {
-    fn welcome(now: Time, channel: Channel, token: Token, shared: &Shared) -> Option<Self> {
+impl ClientConnection for Client {
+    fn accepted(now: Time, channel: Channel, token: Token, shared: &Shared) -> Option<Self> {
         // Whoever connects has a call to make.
-        let until = now + shared.desk.limits.call;
+        let until = now + shared.state.limits.call;
         Some(Client {
             channel,
             token,
@@ -125,8 +125,8 @@
         idle.then_some((self.asked, self.since))
     }
 
-    fn desk(shared: &mut Shared) -> &mut Desk {
-        &mut shared.desk
+    fn state(shared: &mut Shared) -> &mut State {
+        &mut shared.state
     }
 
     fn most(limits: &Limits) -> usize {
@@ -147,7 +147,7 @@
         }
         if self.open.is_some() {
             // Calls sent ahead wait here; more than one call's worth is no client of ours.
-            let most = shared.desk.limits.head + shared.desk.limits.body;
+            let most = shared.state.limits.head + shared.state.limits.body;
             return if self.channel.input.len() > most { Flow::Close } else { Flow::Open };
         }
         self.next_call(now, shared)
@@ -164,7 +164,7 @@
     fn closed(&mut self, _: Time, shared: &mut Shared) {
         self.end_upload(shared);
         if let Some(id) = self.open.take() {
-            shared.desk.left(id);
+            shared.state.left(id);
         }
     }
 }
@@ -173,13 +173,13 @@
     /// Reads calls until one needs the core, or no whole one is left.
     fn next_call(&mut self, now: Time, shared: &mut Shared) -> Flow {
         while self.open.is_none() && self.upload.is_none() && !self.channel.input.is_empty() {
-            if self.channel.queued() > shared.desk.limits.unread {
+            if self.channel.queued() > shared.state.limits.unread {
                 return Flow::Close;
             }
-            match http::read(&self.channel.input, &shared.desk.limits) {
+            match http::read(&self.channel.input, &shared.state.limits) {
                 Ok(Read::Partial { expects }) => {
                     // What has begun must end: an unfinished call is no idle connection.
-                    self.until = self.until.min(now + shared.desk.limits.call);
+                    self.until = self.until.min(now + shared.state.limits.call);
                     if expects && !std::mem::replace(&mut self.continued, true) {
                         self.channel.push(http::CONTINUE.to_vec());
                     }
@@ -188,7 +188,7 @@
                 Ok(Read::Whole(call, length)) => {
                     self.channel.input.drain(..length);
                     self.continued = false;
-                    self.stays = call.stays && !shared.desk.leaving;
+                    self.stays = call.stays && !shared.state.leaving;
                     self.asked = true;
                     self.rest(now, shared);
                     if let Err(Bad(status)) = self.call(now, call, shared) {
@@ -201,7 +201,7 @@
                 Ok(Read::Large { call, head, length, expects }) => {
                     self.channel.input.drain(..head);
                     self.continued = false;
-                    self.stays = call.stays && !shared.desk.leaving;
+                    self.stays = call.stays && !shared.state.leaving;
                     self.asked = true;
                     return match self.begin_upload(now, &call, length, shared) {
                         Ok(Flow::Open) => {
@@ -222,11 +222,11 @@
     }
 
     fn bad(&mut self, now: Time, status: u16, shared: &mut Shared) -> Flow {
-        shared.desk.bad += 1;
+        shared.state.bad += 1;
         self.end_upload(shared);
         if let Some(id) = self.open.take() {
             // A part of its body was sent on; the rest cannot be.
-            shared.desk.left(id);
+            shared.state.left(id);
         }
         self.channel.push(http::answer(status, None, b"{\"err\":\"Lost\"}", false));
         self.finish(now, shared)
@@ -235,13 +235,13 @@
     /// Nothing is open: it may stay for a while.
     fn rest(&mut self, now: Time, shared: &Shared) {
         self.since = now;
-        self.until = now + shared.desk.limits.client_idle;
+        self.until = now + shared.state.limits.client_idle;
     }
 
     fn finish(&mut self, now: Time, shared: &mut Shared) -> Flow {
         self.channel.input = Vec::new();
-        self.until = now + shared.desk.limits.linger;
-        shared.desk.look(self.until, self.token);
+        self.until = now + shared.state.limits.linger;
+        shared.state.look(self.until, self.token);
         Flow::Finish
     }
 
@@ -271,7 +271,7 @@
     /// Hands a request on.
     fn ask(&mut self, ask: Ask, shared: &mut Shared) {
         self.open = Some(ask.id.clone());
-        shared.desk.ask(self.token, ask);
+        shared.state.ask(self.token, ask);
     }
 }
 
@@ -304,13 +304,13 @@
         return Err(Bad(400));
     }
     let id: RequestId = id.into();
-    if shared.desk.is_open(&id) {
+    if shared.state.is_open(&id) {
         return Err(Bad(400));
     }
     Ok(Told {
         class,
         id,
-        allow: (allow / 1000.0).min(shared.desk.limits.allow),
+        allow: (allow / 1000.0).min(shared.state.limits.allow),
         estimate: number(call, "X-Size-Ms")?.filter(|ms| *ms > 0.0),
         memory: number(call, "X-Est-Mb")?.filter(|mb| *mb > 0.0),
         key: key.map(Arc::from),
@@ -321,7 +321,7 @@
     /// The request, but for its statement. Its time runs from now.
     fn ask(&self, now: Time, tables: Option<i64>, shared: &Shared) -> Ask {
         Ask {
-            door: shared.desk.door,
+            door: shared.state.door,
             id: self.id.clone(),
             class: self.class,
             deadline: now + self.allow,
--- a/src/front/platform/upload.rs
+++ b/src/front/platform/upload.rs
@@ -2,8 +2,8 @@
 
 use super::{encode, sql, told, Client, Platform, Shared, Told};
 use crate::core::Answer;
-use crate::front::hall::Hall;
 use crate::front::http::{Bad, Call};
+use crate::front::server::Server;
 use crate::net::{Flow, Time};
 use dahliaspoke_bodies::plan::{BodyId, Refusal, Tier};
 use dahliaspoke_bodies::spool::{Body, Wake};
@@ -88,9 +88,9 @@
         let class = path.strip_prefix("/invoke/").ok_or(Bad(413))?;
         let told = told(call, class, shared)?;
         let spool = shared.spool.clone().ok_or(Bad(413))?;
-        let limits = shared.desk.limits.clone();
+        let limits = shared.state.limits.clone();
         let by = now + limits.upload;
-        let taken = match now < shared.desk.last_upload {
+        let taken = match now < shared.state.last_upload {
             true => spool.borrow_mut().admit(now, told.class, length as u64, by + told.allow),
             false => Err(Refusal::NoRoom),
         };
@@ -100,7 +100,7 @@
             Err(Refusal::NoRoom) => return Ok(self.turn_away(now, told.class, shared)),
         };
         shared.uploads.insert(body.id(), self.token);
-        shared.desk.uploads += 1;
+        shared.state.uploads += 1;
         self.until = by.min(now + limits.stall);
         let (head, text) = (Vec::new(), Text::default());
         let (passed, full) = (tier == Tier::Passed, false);
@@ -111,8 +111,8 @@
     /// A request for whose body there is no room: nothing ran.
     fn turn_away(&mut self, now: Time, class: usize, shared: &mut Shared) -> Flow {
         self.end_upload(shared);
-        shared.desk.turned_away(class);
-        self.channel.push(encode(Answer::Refused(shared.desk.limits.come_back), false));
+        shared.state.turned_away(class);
+        self.channel.push(encode(Answer::Refused(shared.state.limits.come_back), false));
         self.finish(now, shared)
     }
 
@@ -135,7 +135,7 @@
             spool.borrow_mut().push(now, id, bytes);
             self.channel.input.drain(..count);
             upload.left -= count;
-            self.until = upload.by.min(now + shared.desk.limits.stall);
+            self.until = upload.by.min(now + shared.state.limits.stall);
         }
         if upload.left == 0 {
             upload.whole.get_or_insert(now);
@@ -165,7 +165,7 @@
     fn ask_for_upload(&mut self, now: Time, uploading: bool, shared: &mut Shared) -> Flow {
         let Some(upload) = &self.upload else { return Flow::Open };
         // Another client may have asked under the same id meanwhile.
-        if shared.desk.is_open(&upload.told.id) {
+        if shared.state.is_open(&upload.told.id) {
             return self.bad(now, 400, shared);
         }
         let since = upload.whole.unwrap_or(now);
@@ -180,7 +180,7 @@
     pub fn end_upload(&mut self, shared: &mut Shared) {
         if let Some(upload) = self.upload.take() {
             shared.uploads.remove(&upload.body.id());
-            shared.desk.uploads -= 1;
+            shared.state.uploads -= 1;
         }
     }
 
@@ -188,7 +188,7 @@
         let Some(upload) = &mut self.upload else { return Flow::Open };
         match wake {
             Wake::Room(_) => {
-                self.until = upload.by.min(now + shared.desk.limits.stall);
+                self.until = upload.by.min(now + shared.state.limits.stall);
                 self.take_body(now, shared)
             }
             Wake::Kept(_) => {
@@ -213,11 +213,11 @@
     /// Something has become of a body.
     pub fn wake(&mut self, now: Time, body: BodyId, wake: &Wake) {
         let Some(token) = self.shared.uploads.get(&body).copied() else { return };
-        Hall::reply(self, now, token, |client, shared| client.woken(now, wake, shared));
+        Server::reply(self, now, token, |client, shared| client.woken(now, wake, shared));
     }
 
     /// Large bodies are not begun after this.
     pub fn last_upload(&mut self, at: Time) {
-        self.shared.desk.last_upload = at;
+        self.shared.state.last_upload = at;
     }
 }
--- a/src/front/hall.rs
+++ b/src/front/server.rs
@@ -1,6 +1,6 @@
 //! What both fronts have: a listener, connections with a time to live, requests that are open.
 
-use crate::core::{Ask, Wish};
+use crate::core::{Ask, FrontEvent};
 use crate::limits::Limits;
 use crate::net::{Channel, Connection, Flow, Listener, Part, Poller, Ready, Table, Time, Timers, Token};
 use dahliaspoke::interface::RequestId;
@@ -10,10 +10,10 @@
 use std::rc::Rc;
 
 /// What the connections of a front have in common, whatever they speak.
-pub struct Desk {
+pub struct State {
     pub limits: Rc<Limits>,
     pub door: usize,
-    wishes: VecDeque<Wish>,
+    events: VecDeque<FrontEvent>,
     /// The connection that each open request came by.
     open: HashMap<RequestId, Token>,
     timers: Timers<Token>,
@@ -27,11 +27,11 @@
     pub last_upload: Time,
 }
 
-impl Desk {
+impl State {
     pub fn new(door: usize, limits: Rc<Limits>) -> Self {
-        let (wishes, open, timers) = (VecDeque::new(), HashMap::new(), Timers::default());
+        let (events, open, timers) = (VecDeque::new(), HashMap::new(), Timers::default());
         let last_upload = Time::INFINITY;
-        Self { limits, door, wishes, open, timers, leaving: false, bad: 0, uploads: 0, last_upload }
+        Self { limits, door, events, open, timers, leaving: false, bad: 0, uploads: 0, last_upload }
     }
 
     pub fn is_open(&self, id: &RequestId) -> bool {
@@ -41,18 +41,18 @@
     /// Hands a request on to the core.
     pub fn ask(&mut self, token: Token, ask: Ask) {
         self.open.insert(ask.id.clone(), token);
-        self.wishes.push_back(Wish::Ask(ask));
+        self.events.push_back(FrontEvent::Ask(ask));
     }
 
     /// The client of an open request has gone.
     pub fn left(&mut self, id: RequestId) {
         self.open.remove(&id);
-        self.wishes.push_back(Wish::Left(id));
+        self.events.push_back(FrontEvent::Left(id));
     }
 
     /// A request was turned away, with an answer, before it was one.
     pub fn turned_away(&mut self, class: usize) {
-        self.wishes.push_back(Wish::TurnedAway(class));
+        self.events.push_back(FrontEvent::TurnedAway(class));
     }
 
     /// Looks at the connection at that time.
@@ -62,9 +62,9 @@
 }
 
 /// A client's connection.
-pub trait Guest: Connection + Sized {
+pub trait ClientConnection: Connection + Sized {
     /// Round a socket that was accepted; `None` if it cannot be served.
-    fn welcome(now: Time, channel: Channel, token: Token, shared: &Self::Shared) -> Option<Self>;
+    fn accepted(now: Time, channel: Channel, token: Token, shared: &Self::Shared) -> Option<Self>;
     /// When its time is up; `None` while a request is open.
     fn until(&self) -> Option<Time>;
     /// Its time is up.
@@ -72,19 +72,19 @@
     /// Whether it may be closed to make room, and in which order: those that never asked for anything come
     /// first, then those that have done nothing for longest.
     fn spare(&self) -> Option<(bool, Time)>;
-    fn desk(shared: &mut Self::Shared) -> &mut Desk;
+    fn state(shared: &mut Self::Shared) -> &mut State;
     /// Connections held at once.
     fn most(limits: &Limits) -> usize;
 }
 
 /// A listener and the connections that came by it.
-pub struct Hall<G: Guest> {
+pub struct Server<G: ClientConnection> {
     listener: Listener,
     table: Table<G>,
     pub shared: G::Shared,
 }
 
-impl<G: Guest> Hall<G> {
+impl<G: ClientConnection> Server<G> {
     pub fn new(part: u8, socket: TcpListener, shared: G::Shared, poller: Rc<Poller>) -> io::Result<Self> {
         let listener = Listener::new(part, socket, poller.clone())?;
         Ok(Self { listener, table: Table::new(part, poller), shared })
@@ -95,22 +95,22 @@
         self.listener.address()
     }
 
-    pub fn take(&mut self) -> Option<Wish> {
-        G::desk(&mut self.shared).wishes.pop_front()
+    pub fn take(&mut self) -> Option<FrontEvent> {
+        G::state(&mut self.shared).events.pop_front()
     }
 
     pub fn bad(&mut self) -> u64 {
-        G::desk(&mut self.shared).bad
+        G::state(&mut self.shared).bad
     }
 
     /// Whether every answer is out, and no body is coming in.
     pub fn idle(&mut self) -> bool {
-        self.table.is_flushed() && G::desk(&mut self.shared).uploads == 0
+        self.table.is_flushed() && G::state(&mut self.shared).uploads == 0
     }
 
     /// Takes no connection from here on: another process has the listening socket as well.
     pub fn leave(&mut self) {
-        G::desk(&mut self.shared).leaving = true;
+        G::state(&mut self.shared).leaving = true;
         self.listener.room(false);
     }
 
@@ -121,14 +121,14 @@
 
     /// Runs `answer` on the connection that the request came by, if it is still there.
     pub fn answer(&mut self, now: Time, id: &RequestId, answer: impl FnOnce(&mut G, &mut G::Shared) -> Flow) {
-        let Some(token) = G::desk(&mut self.shared).open.remove(id) else { return };
+        let Some(token) = G::state(&mut self.shared).open.remove(id) else { return };
         self.reply(now, token, answer);
     }
 
     /// Runs `answer` on a connection, if it is still there.
     pub fn reply(&mut self, now: Time, token: Token, answer: impl FnOnce(&mut G, &mut G::Shared) -> Flow) {
-        let Some(guest) = self.table.get(token) else { return };
-        let flow = answer(guest, &mut self.shared);
+        let Some(client) = self.table.get(token) else { return };
+        let flow = answer(client, &mut self.shared);
         self.table.settle(now, token, flow, &mut self.shared);
     }
 
@@ -136,10 +136,10 @@
     /// asked once and stay, would shut out those that come to ask. A new one keeps its place for a moment:
     /// its call is on the way.
     fn spare(&mut self, now: Time) -> Option<Token> {
-        let young = now - G::desk(&mut self.shared).limits.young;
+        let young = now - G::state(&mut self.shared).limits.young;
         let mut heard = None;
         loop {
-            let token = self.table.least(|guest| guest.spare().filter(|(_, since)| *since <= young))?;
+            let token = self.table.least(|client| client.spare().filter(|(_, since)| *since <= young))?;
             // A request that stands unread must not meet a close; one that was heard, and is no busier for
             // it, has nothing to say.
             if heard == Some(token) || !self.table.get(token)?.channel().has_input() {
@@ -152,18 +152,18 @@
 
     /// Whether there is a place. Connections for which there is none wait in the kernel's line.
     fn has_room(&mut self) -> bool {
-        self.table.len() < G::most(&G::desk(&mut self.shared).limits)
+        self.table.len() < G::most(&G::state(&mut self.shared).limits)
     }
 
     fn rearm(&mut self, now: Time) {
-        let leaving = G::desk(&mut self.shared).leaving;
+        let leaving = G::state(&mut self.shared).leaving;
         if !leaving && !self.listener.is_armed() && (self.has_room() || self.spare(now).is_some()) {
             self.listener.room(true);
         }
     }
 
     fn accept(&mut self, now: Time) {
-        while !G::desk(&mut self.shared).leaving {
+        while !G::state(&mut self.shared).leaving {
             let spare = if self.has_room() { None } else { self.spare(now) };
             if spare.is_none() && !self.has_room() {
                 return self.listener.room(false);
@@ -173,20 +173,20 @@
                 self.table.close(now, token, &mut self.shared);
             }
             let shared = &self.shared;
-            let Ok(Some(token)) = self.table.add(|token| G::welcome(now, channel, token, shared)) else {
+            let Ok(Some(token)) = self.table.add(|token| G::accepted(now, channel, token, shared)) else {
                 continue;
             };
-            let desk = G::desk(&mut self.shared);
-            let young = now + desk.limits.young;
-            desk.look(young, token); // it may be closed for another from then on
+            let state = G::state(&mut self.shared);
+            let young = now + state.limits.young;
+            state.look(young, token); // it may be closed for another from then on
             self.table.settle(now, token, Flow::Open, &mut self.shared);
         }
     }
 }
 
-impl<G: Guest> Part for Hall<G> {
+impl<G: ClientConnection> Part for Server<G> {
     fn next(&mut self) -> Option<Time> {
-        G::desk(&mut self.shared).timers.next()
+        G::state(&mut self.shared).timers.next()
     }
 
     fn ready(&mut self, now: Time, ready: Ready) {
@@ -200,18 +200,18 @@
 
     /// Closes the connections whose time is up.
     fn alarm(&mut self, now: Time) {
-        while let Some(token) = G::desk(&mut self.shared).timers.due(now) {
-            let Some(guest) = self.table.get(token) else { continue };
-            match guest.until() {
+        while let Some(token) = G::state(&mut self.shared).timers.due(now) {
+            let Some(client) = self.table.get(token) else { continue };
+            match client.until() {
                 Some(until) if until <= now => {
-                    let flow = guest.overdue(now, &mut self.shared);
+                    let flow = client.overdue(now, &mut self.shared);
                     self.table.settle(now, token, flow, &mut self.shared);
                 }
                 until => {
-                    let desk = G::desk(&mut self.shared);
+                    let state = G::state(&mut self.shared);
                     // A call that begins meanwhile brings it forward: an idle session is looked at in time.
-                    let again = until.unwrap_or(now + desk.limits.linger).min(now + desk.limits.call);
-                    desk.look(again, token);
+                    let again = until.unwrap_or(now + state.limits.linger).min(now + state.limits.call);
+                    state.look(again, token);
                 }
             }
         }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -115,7 +115,7 @@
     /// Operators' connections held at once.
     pub callers: usize,
     /// From SIGTERM until the program may end: connections that came before are still served.
-    pub farewell: f64,
+    pub grace: f64,
     /// From SIGTERM until all that is open is given up, where another process goes on in this one's place.
     pub handover: f64,
 }
@@ -224,7 +224,7 @@
             catch_up: 0.1,
             remembered: 60.0,
             callers: CALLERS,
-            farewell: if in_pairs { handover - ANSWERS_OUT } else { 1.0 },
+            grace: if in_pairs { handover - ANSWERS_OUT } else { 1.0 },
             handover,
         })
     }
