No attempt begins for a client that has gone: its connection is looked at as each is sent

Seen by reading: an attempt began on what its client's connection had last told. With the process stopped, or behind in its turn, an engine's failure or a dial that came up was taken before the client's FIN, and the attempt went out; a request read with its FIN behind it was sent on where an idle connection stood ready. Ruled out: the module (it sends nothing after ClientLeft). At fault: Core::send, Daemon::take. Change: Core::send asks the front whether the client still waits (poll for RDHUP, which sees an end behind unread bytes); what is ready is taken signals and directory first, then fronts, then links. Found beside it: a call whose connection ended while another was dropped lay between connections, and a drop of it did not reach it; each entry to the link now ends with nothing lying there. Tests: gone_before_taken fails without the look at the send; gone_before_retry and gone_as_dial_ends fail without it and the order; half_close and deletes say what holds already. The call between connections has no test of its own: it takes full buffers on both sides.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -136,6 +136,8 @@
 pub trait Front {
     /// Gives a request its final answer. One whose client has gone is passed over.
     fn answer(&mut self, now: Time, id: &RequestId, answer: Answer);
+    /// Whether its client still waits for that answer, by what its connection tells at this moment.
+    fn waits(&mut self, id: &RequestId) -> bool;
 }
 
 /// Where attempts run.
@@ -299,16 +301,23 @@
                 self.counters.answers[class].refused += 1;
             }
             FrontEvent::Left(id) => {
-                let Some(request) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
-                request.over = true;
-                self.open -= 1;
-                self.counters.withdrawn += 1;
-                self.feed(now, Event::ClientLeft { id: id.clone() }, doors);
-                self.forget(&id);
+                if self.withdraw(&id) {
+                    self.feed(now, Event::ClientLeft { id: id.clone() }, doors);
+                    self.forget(&id);
+                }
             }
         }
     }
 
+    /// The client has gone: nothing more is done for its request. False if it was over.
+    fn withdraw(&mut self, id: &RequestId) -> bool {
+        let Some(request) = self.requests.get_mut(id).filter(|r| !r.over) else { return false };
+        request.over = true;
+        self.open -= 1;
+        self.counters.withdrawn += 1;
+        true
+    }
+
     fn ask(&mut self, now: Time, ask: Ask, doors: &mut [Door]) {
         self.counters.taken += 1;
         self.trace.taken(now, &ask.id, ask.class, ask.estimate, ask.deadline - now);
@@ -534,16 +543,22 @@
     ) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let attempt = request.attempts.len() as u32;
-        let rank = request.rank;
+        let (rank, door) = (request.rank, request.door);
+        // Word that the client has gone may stand unread behind what led here: it is asked for at this moment.
+        if !request.over && !doors[door].front.waits(&id) && self.withdraw(&id) {
+            self.events.push_back(Event::ClientLeft { id: id.clone() });
+        }
+        let Some(request) = self.requests.get_mut(&id) else { return };
         if request.over {
             request.attempts.push(Attempt { out: false, rank });
-            let event = self.end_event(now, id, attempt, Outcome::Moot, None);
-            return self.events.push_back(event);
+            let event = self.end_event(now, id.clone(), attempt, Outcome::Moot, None);
+            self.events.push_back(event);
+            return self.forget(&id);
         }
         let deadline = timeout.map_or(request.deadline, |t| request.deadline.min(now + t));
         let begins_by = within.map_or(deadline, |w| deadline.min(now + w));
         request.attempts.push(Attempt { out: true, rank });
-        let (door, memory, work) = (request.door, request.memory, request.work.clone());
+        let (memory, work) = (request.memory, request.work.clone());
         self.counters.sends += 1;
         self.trace.sent(now, &id, attempt, &engine);
         self.timers.set(deadline, Alarm::Attempt(id.clone(), attempt));
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -253,8 +253,17 @@
     /// Lets each part do what its descriptors are ready for.
     fn take(&mut self, ready: &[Ready]) {
         let now = self.clock.now();
+        // What the directory says, and that clients have gone, counts before anything is sent on.
+        let rank = |part| match part {
+            SIGNALS => 0,
+            SOURCE => 1,
+            PLATFORM | MYSQL_FRONT => 2,
+            _ => 3,
+        };
+        let mut ready = ready.to_vec();
+        ready.sort_by_key(|ready| rank(ready.token.part));
         for ready in ready {
-            self.ready(now, *ready);
+            self.ready(now, ready);
             self.carry(now);
         }
     }
--- a/src/front/mysql/mod.rs
+++ b/src/front/mysql/mod.rs
@@ -207,6 +207,10 @@
 }
 
 impl Front for MysqlFront {
+    fn waits(&mut self, id: &RequestId) -> bool {
+        Server::waits(self, id)
+    }
+
     fn answer(&mut self, now: Time, id: &RequestId, answer: Answer) {
         Server::answer(self, now, id, |session, shared| {
             session.open = None;
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -67,6 +67,10 @@
 }
 
 impl Front for Platform {
+    fn waits(&mut self, id: &RequestId) -> bool {
+        Server::waits(self, id)
+    }
+
     fn answer(&mut self, now: Time, id: &RequestId, answer: Answer) {
         Server::answer(self, now, id, |client, shared| {
             client.open = None;
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -125,6 +125,13 @@
         self.reply(now, token, answer);
     }
 
+    /// Whether the client of an open request still waits.
+    pub fn waits(&mut self, id: &RequestId) -> bool {
+        let token = G::state(&mut self.shared).open.get(id).copied();
+        let client = token.and_then(|token| self.table.get(token));
+        client.is_some_and(|client| !client.channel().has_ended())
+    }
+
     /// Runs `answer` on a connection, if it is still there.
     pub fn reply(&mut self, now: Time, token: Token, answer: impl FnOnce(&mut G, &mut G::Shared) -> Flow) {
         let Some(client) = self.table.get(token) else { return };
--- a/src/link/resp/mod.rs
+++ b/src/link/resp/mod.rs
@@ -140,6 +140,7 @@
             self.engines.close(now, &former);
             self.drained(now, &former);
         }
+        self.send_waiting(now);
     }
 
     fn line_alarm(&mut self, now: Time, token: Token) {
@@ -428,6 +429,30 @@
     }
 
     fn drop_call(&mut self, now: Time, id: &RequestId, attempt: u32) -> bool {
+        let unsent = self.take_off(now, id, attempt);
+        // Its connection may have ended with it: what waited there is on another before anything else is asked of it.
+        self.send_waiting(now);
+        unsent
+    }
+
+    fn rank(&mut self, now: Time, id: &RequestId, attempt: u32, rank: u8) {
+        let Some(token) = self.calls.get(&(id.clone(), attempt)).copied() else { return };
+        // In the middle of a body no other word can go out.
+        let free = |line: &&mut Line| line.running.contains_key(id) && line.sending.is_none();
+        let Some(line) = self.table.get(token).filter(free) else { return };
+        line.channel.push(array(&[b"RANK", id.as_bytes(), rank.to_string().as_bytes()]));
+        self.settle(now, token);
+        self.send_waiting(now);
+    }
+
+    fn written(&self) -> u64 {
+        self.shared.written + self.table.all().map(|line| line.channel.whole).sum::<u64>()
+    }
+}
+
+impl Resp {
+    /// Takes an attempt off its connection, and tells its engine where it has heard of it. True if it has not.
+    fn take_off(&mut self, now: Time, id: &RequestId, attempt: u32) -> bool {
         // Its end may be on its way to the core already; the core passes over what comes second.
         let Some(token) = self.calls.remove(&(id.clone(), attempt)) else { return false };
         let Some(line) = self.table.get(token) else { return false };
@@ -457,19 +482,6 @@
         self.settle(now, token);
         false
     }
-
-    fn rank(&mut self, now: Time, id: &RequestId, attempt: u32, rank: u8) {
-        let Some(token) = self.calls.get(&(id.clone(), attempt)).copied() else { return };
-        // In the middle of a body no other word can go out.
-        let free = |line: &&mut Line| line.running.contains_key(id) && line.sending.is_none();
-        let Some(line) = self.table.get(token).filter(free) else { return };
-        line.channel.push(array(&[b"RANK", id.as_bytes(), rank.to_string().as_bytes()]));
-        self.settle(now, token);
-    }
-
-    fn written(&self) -> u64 {
-        self.shared.written + self.table.all().map(|line| line.channel.whole).sum::<u64>()
-    }
 }
 
 /// The command that starts an attempt.
--- a/src/net/channel.rs
+++ b/src/net/channel.rs
@@ -164,6 +164,15 @@
         matches!(self.stream.peek(&mut [0]), Ok(1..))
     }
 
+    /// Whether the peer has ended its side or is gone, whatever bytes of it are still unread.
+    pub fn has_ended(&self) -> bool {
+        use rustix::event::{poll, PollFd, PollFlags, Timespec};
+        let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let mut sockets = [PollFd::new(&self.stream, PollFlags::RDHUP)];
+        let looked = poll(&mut sockets, Some(&Timespec { tv_sec: 0, tv_nsec: 0 }));
+        looked.is_ok() && sockets[0].revents().intersects(ends)
+    }
+
     /// Reads once.
     pub fn fill(&mut self) -> io::Result<Fill> {
         // Read elsewhere first: a connection holds no more memory than what has come.
--- a/tests/daemon/mod.rs
+++ b/tests/daemon/mod.rs
@@ -155,6 +155,11 @@
         let number = self.child.id().to_string();
         let done = Command::new("kill").args(["-s", name, &number]).status().expect("kill runs");
         assert!(done.success());
+        // One that is to stop has stopped: what comes from here on meets nobody.
+        let state = || std::fs::read_to_string(format!("/proc/{number}/stat")).expect("it is there");
+        while name == "STOP" && !state().contains(") T ") {
+            std::thread::yield_now();
+        }
     }
 
     /// Descriptors that it has open.
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -9,7 +9,8 @@
 //!   `m...` is a client of the MySQL front, `e...` an engine, `names` the directory, `consul` its agent, `p...` a
 //!   member of the store that is watched, `s...` an operator's connection to it, `o...` one to the operators' door;
 //! - `e1+` is another connection to that engine, beside the first;
-//! - `a ended`, `a close`: its connection was ended, or it ends it; `e1 next`: the engine's next connection;
+//! - `signal STOP`: it has stopped from here on, until `signal CONT`;
+//! - `a ended`, `a close`: its connection was ended, or it ends it; `a shuts`: it writes nothing more, and reads on; `e1 next`: the engine's next connection;
 //! - `e1 gone`: nobody listens there any more; `e1 deaf`: connections to it do not come up; `e1 hears`: they do again, those
 //!   that have waited within a second; `e1 up`: the engine's next connection comes up, and stays;
 //! - `crowd 200`: so many clients ask for the health and stay; `moves`: the directory has another address, and the
@@ -289,6 +290,7 @@
                     read.as_ref().map_or_else(|e| e.kind() != std::io::ErrorKind::WouldBlock, |n| *n == 0);
                 assert!(ended, "{who} is still open: {read:?}");
             }
+            (who, "shuts") => self.stream(who).shutdown(std::net::Shutdown::Write).expect("it was up"),
             (who, "close") | (who, "next") => drop(self.streams.remove(who)),
             (who, "deaf") => {
                 let engine = &self.engines[who];
