Shutdown has its states in one place, and gives up what is open before the platform's patience ends

Seen by reading: alone, the program waited for its requests however long, and SIGKILL found them unanswered 3.7 s after SIGTERM; resting connections stayed to the end; between the last look and the exit, and between the look at an idle client's time and its close, a request could come and meet the close. accept without a descriptor left spun the loop, which nothing bounded under a flood of connections. A dial without a descriptor counted as an engine's failure. Answers of the directory older than 1.6 s were passed over, where lists come late. Ruled out: a second SIGTERM and SIGHUP amid shutdown (they changed nothing, and do not now). Change: Life (serving, draining, closing, given up) owns the shutdown; what is open is answered 0.4 s before the patience ends; resting clients are ended after the grace; the last act before the exit, and before an idle close, is a look at what has come. 64 accepts a turn, a pause of 50 ms without descriptors, one that rests makes room. Answers to 40 queries (8 s) count. The player waits 20 s for connections and ends in place of for ever.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -16,6 +16,7 @@
 use crate::membership::{known, Member, Members, Source};
 use crate::mysql::{self, config::Mysql};
 use crate::net::{inherited, Clock, Part, Poller, Ready, Sleep, Time, Token};
+use crate::points;
 use crate::store::{self, Store};
 use dahliaspoke::interface::{EngineId, Lifecycle, Scope, Settings};
 use dahliaspoke::settings::{object, settings};
@@ -110,10 +111,31 @@
     console: Option<Console>,
     /// The platform holds the clients' listening socket, and another process takes this one's place.
     in_pairs: bool,
-    /// After SIGTERM: until when the program stays in any case.
-    grace: Option<Time>,
-    /// After SIGTERM, where another process takes over: when all that is open is given up.
-    handover: Time,
+    life: Life,
+}
+
+/// How far the program is: it serves, and shuts down gracefully after SIGTERM.
+#[derive(Clone, Copy, PartialEq)]
+enum Life {
+    Serving,
+    /// SIGTERM has come, and what clients send is still served until the first time. All that is open at the second is
+    /// given up, with an answer.
+    Draining(Time, Time),
+    /// Nothing more is expected. Connections end as they come to rest; the same second time.
+    Closing(Time),
+    /// All was given up, and its answers are going out; until then clients may take them.
+    GivenUp(Time),
+}
+
+impl Life {
+    /// When the next step is due by itself.
+    fn next(self) -> Option<Time> {
+        match self {
+            Life::Draining(until, give_up) => Some(until.min(give_up)),
+            Life::Closing(at) | Life::GivenUp(at) => Some(at),
+            Life::Serving => None,
+        }
+    }
 }
 
 impl Daemon {
@@ -211,8 +233,7 @@
             spool,
             source,
             platform,
-            grace: None,
-            handover: Time::INFINITY,
+            life: Life::Serving,
         };
         if let Some(store) = &mut daemon.store {
             let fits = daemon.core.fitting();
@@ -237,11 +258,11 @@
             let now = self.clock.now();
             self.alarms(now);
             self.carry(now);
-            if self.is_over(now) {
+            if self.is_over(&mut ready)? {
                 tracing::info!("{}", self.counters());
                 return Ok(());
             }
-            let next = self.next(now);
+            let next = self.next();
             self.poller.wait(self.clock.now(), next, &mut ready).map_err(|e| format!("epoll: {e}"))?;
             if self.sleep.woke(self.clock.now(), Some(next), self.limits.slept) {
                 self.catch_up(&mut ready)?;
@@ -312,10 +333,9 @@
     }
 
     /// When there is next something to do that no descriptor tells of.
-    fn next(&mut self, now: Time) -> Time {
+    fn next(&mut self) -> Time {
         let parts = self.parts().filter_map(|(_, part)| part.next()).fold(f64::INFINITY, f64::min);
-        let own =
-            [self.core.next(), self.grace.filter(|at| *at > now), Some(self.handover), Some(self.look_at)];
+        let own = [self.core.next(), self.life.next(), Some(self.look_at)];
         own.into_iter().flatten().fold(parts, f64::min)
     }
 
@@ -326,12 +346,30 @@
             self.look_at = now + self.limits.look;
             self.look(now);
         }
-        let over = self.handover <= now;
         let (core, mut doors) = self.doors();
         core.alarm(now, &mut doors);
-        if over {
-            core.give_up(now, &mut doors);
-            self.handover = Time::INFINITY;
+        self.live(now);
+    }
+
+    /// Takes the next step of a shutdown, when it is due.
+    fn live(&mut self, now: Time) {
+        if let Life::Draining(until, give_up) = self.life {
+            // Where another process takes what comes, this one need not stay for it.
+            let nobody = self.in_pairs && self.platform.is_empty();
+            let nobody = nobody && self.mysql.as_ref().is_none_or(|(front, _)| front.is_empty());
+            if now >= until || nobody {
+                self.life = Life::Closing(give_up);
+                if !self.in_pairs {
+                    self.platform.end_resting(now);
+                }
+            }
+        }
+        if let Life::Draining(_, give_up) | Life::Closing(give_up) = self.life {
+            if now >= give_up {
+                self.life = Life::GivenUp(now + self.limits.last_answers);
+                let (core, mut doors) = self.doors();
+                core.give_up(now, &mut doors);
+            }
         }
     }
 
@@ -540,7 +578,7 @@
     fn commands(&mut self, now: Time) {
         while let Some((token, command)) = self.console.as_mut().and_then(Console::command) {
             let (status, text) = match command {
-                Command::Health if self.grace.is_some() => (503, "leaving\n".to_string()),
+                Command::Health if self.life != Life::Serving => (503, "leaving\n".to_string()),
                 Command::Health => (200, "ok\n".to_string()),
                 Command::Stats => (200, self.stats(now)),
                 Command::Ban(id) => self.maintain(now, id, true),
@@ -560,18 +598,18 @@
                 Ok(said) => tracing::info!(at = now, "{said}"),
                 Err(e) => tracing::info!(at = now, "the old configuration stays: {e}"),
             }
-        } else if self.grace.is_none() {
+        } else if self.life == Life::Serving {
             // The front goes on sending for a while: what comes is still served.
-            self.grace = Some(now + self.limits.grace);
-            self.platform.last_upload(now + self.limits.grace);
+            let until = now + self.limits.grace;
+            self.life = Life::Draining(until, now + self.limits.give_up);
+            self.platform.last_upload(until);
             if let Some((front, _)) = &mut self.mysql {
-                front.last_upload(now + self.limits.grace);
+                front.last_upload(until);
             }
             if self.in_pairs {
                 // The other process has the listening socket as well, and takes what comes.
                 tracing::info!(at = now, "leaving: connections go to the process beside");
-                self.platform.leave();
-                self.handover = now + self.limits.handover;
+                self.platform.hand_over();
             }
             self.source.leave(now);
         }
@@ -584,19 +622,23 @@
         Ok(format!("configuration read again: directory {names}"))
     }
 
-    /// After SIGTERM, once clients have had time to notice and every answer is out. New connections are taken
-    /// to the end: one that the kernel took, and nobody here, would be lost.
-    fn is_over(&mut self, now: Time) -> bool {
-        let Some(grace) = self.grace else { return false };
-        let alone = self.in_pairs && self.platform.is_empty();
-        if now < grace && !alone {
-            return false;
-        }
-        let mut idle = self.platform.idle();
-        if let Some((front, _)) = &mut self.mysql {
-            idle &= front.idle() && (now >= grace || front.is_empty());
+    /// Whether the program may end: every answer is out, and nobody has said anything that was not heard. New
+    /// connections are taken to the end: one that the kernel took, and nobody here, would be lost.
+    fn is_over(&mut self, ready: &mut Vec<Ready>) -> Result<bool, String> {
+        let last = match self.life {
+            Life::Serving | Life::Draining(..) => return Ok(false),
+            Life::Closing(_) => false,
+            Life::GivenUp(until) => self.clock.now() >= until,
+        };
+        let idle = self.platform.idle() && self.mysql.as_mut().is_none_or(|(front, _)| front.idle());
+        if last || self.core.open() > 0 || !idle {
+            return Ok(last);
         }
-        idle && self.core.open() == 0
+        points::reach("shutdown.last");
+        let now = self.clock.now();
+        self.poller.wait(now, now, ready).map_err(|e| format!("epoll: {e}"))?;
+        let unheard = ready.iter().any(|ready| matches!(ready.token.part, PLATFORM | MYSQL_FRONT));
+        Ok(!unheard)
     }
 
     /// The figures, for operators: a line each.
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -40,6 +40,8 @@
     stays: bool,
     /// Told to send its body.
     continued: bool,
+    /// A call has begun to come in, or is expected: it must be whole by `until`.
+    calling: bool,
     /// It has made a call.
     asked: bool,
     /// When it came, or last was answered.
@@ -100,6 +102,7 @@
             upload: None,
             stays: true,
             continued: false,
+            calling: true,
             asked: false,
             since: now,
             until,
@@ -183,7 +186,9 @@
             match http::read(&self.channel.input, &shared.state.limits) {
                 Ok(Read::Partial { expects }) => {
                     // What has begun must end: an unfinished call is no idle connection.
-                    self.until = self.until.min(now + shared.state.limits.call);
+                    if !std::mem::replace(&mut self.calling, true) {
+                        self.until = now + shared.state.limits.call;
+                    }
                     if expects && !std::mem::replace(&mut self.continued, true) {
                         self.channel.push(http::CONTINUE.to_vec());
                     }
@@ -239,6 +244,7 @@
     /// Nothing is open: it may stay for a while.
     fn rest(&mut self, now: Time, shared: &Shared) {
         self.since = now;
+        self.calling = false;
         self.until = now + shared.state.limits.client_idle;
     }
 
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -3,6 +3,7 @@
 use crate::core::{Ask, FrontEvent};
 use crate::limits::Limits;
 use crate::net::{Channel, Connection, Flow, Listener, Part, Poller, Ready, Table, Time, Timers, Token};
+use crate::points;
 use dahliaspoke::interface::RequestId;
 use std::collections::{HashMap, VecDeque};
 use std::io;
@@ -17,8 +18,10 @@
     /// The connection that each open request came by.
     open: HashMap<RequestId, Token>,
     timers: Timers<Token>,
-    /// The program is about to end and another takes the connections: each is closed with its next answer.
+    /// The program is about to end: each connection is closed with its next answer.
     pub leaving: bool,
+    /// Another process takes the connections that come.
+    pub handed_over: bool,
     /// Calls that could not be read.
     pub bad: u64,
     /// Bodies that are coming in.
@@ -31,7 +34,8 @@
     pub fn new(door: usize, limits: Rc<Limits>) -> Self {
         let (events, open, timers) = (VecDeque::new(), HashMap::new(), Timers::default());
         let last_upload = Time::INFINITY;
-        Self { limits, door, events, open, timers, leaving: false, bad: 0, uploads: 0, last_upload }
+        let (leaving, handed_over) = (false, false);
+        Self { limits, door, events, open, timers, leaving, handed_over, bad: 0, uploads: 0, last_upload }
     }
 
     pub fn is_open(&self, id: &RequestId) -> bool {
@@ -81,13 +85,15 @@
 pub struct Server<G: ClientConnection> {
     listener: Listener,
     table: Table<G>,
+    /// No connection is taken before: the system had nothing left for one.
+    accepts_from: Time,
     pub shared: G::Shared,
 }
 
 impl<G: ClientConnection> Server<G> {
     pub fn new(part: u8, socket: TcpListener, shared: G::Shared, poller: Rc<Poller>) -> io::Result<Self> {
         let listener = Listener::new(part, socket, poller.clone())?;
-        Ok(Self { listener, table: Table::new(part, poller), shared })
+        Ok(Self { listener, table: Table::new(part, poller), accepts_from: 0.0, shared })
     }
 
     /// Where it listens.
@@ -109,11 +115,26 @@
     }
 
     /// Takes no connection from here on: another process has the listening socket as well.
-    pub fn leave(&mut self) {
-        G::state(&mut self.shared).leaving = true;
+    pub fn hand_over(&mut self) {
+        let state = G::state(&mut self.shared);
+        (state.leaving, state.handed_over) = (true, true);
         self.listener.room(false);
     }
 
+    /// Each connection ends with its next answer from here on, and those that rest end now. One that has said something
+    /// is heard first.
+    pub fn end_resting(&mut self, now: Time) {
+        G::state(&mut self.shared).leaving = true;
+        for token in self.table.tokens() {
+            let rests = |client: &mut G| {
+                client.spare().is_some() && client.channel().input.is_empty() && !client.channel().has_input()
+            };
+            if self.table.get(token).is_some_and(rests) {
+                self.table.settle(now, token, Flow::Finish, &mut self.shared);
+            }
+        }
+    }
+
     /// Whether nobody is connected.
     pub fn is_empty(&self) -> bool {
         self.table.len() == 0
@@ -163,19 +184,27 @@
     }
 
     fn rearm(&mut self, now: Time) {
-        let leaving = G::state(&mut self.shared).leaving;
-        if !leaving && !self.listener.is_armed() && (self.has_room() || self.spare(now).is_some()) {
+        let closed = G::state(&mut self.shared).handed_over || now < self.accepts_from;
+        if !closed && !self.listener.is_armed() && (self.has_room() || self.spare(now).is_some()) {
             self.listener.room(true);
         }
     }
 
     fn accept(&mut self, now: Time) {
-        while !G::state(&mut self.shared).leaving {
+        // Bounded, so that a flood does not keep the loop here: what is left is told of again.
+        for _ in 0..G::state(&mut self.shared).limits.accepts {
+            if G::state(&mut self.shared).handed_over {
+                return;
+            }
             let spare = if self.has_room() { None } else { self.spare(now) };
             if spare.is_none() && !self.has_room() {
                 return self.listener.room(false);
             }
-            let Some(channel) = self.listener.accept() else { return };
+            let channel = match self.listener.accept() {
+                Ok(Some(channel)) => channel,
+                Ok(None) => return,
+                Err(_) => return self.pause(now),
+            };
             if let Some(token) = spare {
                 self.table.close(now, token, &mut self.shared);
             }
@@ -191,6 +220,20 @@
     }
 }
 
+impl<G: ClientConnection> Server<G> {
+    /// The system has no descriptor left, or no memory: one that rests makes room, and the next is taken in a moment.
+    /// Until then epoll must not tell of it again and again.
+    fn pause(&mut self, now: Time) {
+        if let Some(token) = self.spare(now) {
+            self.table.close(now, token, &mut self.shared);
+        }
+        let state = G::state(&mut self.shared);
+        self.accepts_from = now + state.limits.accept_pause;
+        state.look(self.accepts_from, self.listener.token());
+        self.listener.room(false);
+    }
+}
+
 impl<G: ClientConnection> Part for Server<G> {
     fn next(&mut self) -> Option<Time> {
         G::state(&mut self.shared).timers.next()
@@ -208,6 +251,13 @@
     /// Closes the connections whose time is up.
     fn alarm(&mut self, now: Time) {
         while let Some(token) = G::state(&mut self.shared).timers.due(now) {
+            let Some(client) = self.table.get(token) else { continue };
+            if client.until().is_some_and(|until| until <= now) {
+                points::reach("client.overdue");
+                // What has come meanwhile must not meet a close: it is heard first, and may change the time.
+                let ready = Ready { token, readable: client.channel().has_input(), writable: false };
+                self.table.ready(now, ready, &mut self.shared);
+            }
             let Some(client) = self.table.get(token) else { continue };
             match client.until() {
                 Some(until) if until <= now => {
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -92,7 +92,8 @@
     pub drain_grace: f64,
     /// Pause between two queries to the directory.
     pub poll: f64,
-    /// Queries to the directory that an answer may still come to.
+    /// Queries to the directory that an answer may still come to: 8 s of them. Lists come late, and what they tell counts
+    /// as told 7 s after it happened in any case.
     pub queries: usize,
     /// An answer of the directory.
     pub datagram: usize,
@@ -114,10 +115,16 @@
     pub remembered: f64,
     /// Operators' connections held at once.
     pub callers: usize,
+    /// After the system had no descriptor or memory for a further connection, none is taken for so long.
+    pub accept_pause: f64,
+    /// Connections taken at one turn of the loop.
+    pub accepts: usize,
     /// From SIGTERM until the program may end: connections that came before are still served.
     pub grace: f64,
-    /// From SIGTERM until all that is open is given up, where another process goes on in this one's place.
-    pub handover: f64,
+    /// From SIGTERM until all that is open is given up, with an answer: the platform's patience ends soon after.
+    pub give_up: f64,
+    /// From then on clients have so long to take their answers.
+    pub last_answers: f64,
 }
 
 /// Share of the descriptors that clients may hold.
@@ -128,10 +135,14 @@
 const OWN: usize = 24 + CALLERS;
 /// Operators' connections.
 const CALLERS: usize = 8;
-/// The platform gives an old process so long after SIGTERM (s), or the longest deadline if that is less ...
+/// The platform gives a process so long after SIGTERM (s), or the longest deadline if that is less ...
+const RESTART_MOST: f64 = 3.0;
+/// ... an old one beside its successor so long ...
 const UPGRADE_MOST: f64 = 5.0;
 /// ... and 0.7 s more, of which it uses so much (s).
 const HANDOVER_SPARE: f64 = 0.3;
+/// ... and then so much again, while the last answers go out (s).
+const LAST_ANSWERS: f64 = 0.3;
 /// Before that, one that owes nothing may end: its clients' idle connections, of 4 s at most, are over (s).
 const ANSWERS_OUT: f64 = 0.7;
 /// Share of the memory that calls may take which are not whole yet.
@@ -169,7 +180,7 @@
             longest = longest.max(num(object(class, "a class")?, "giveUp", 30.0)?);
         }
         // Before the platform's own patience ends: the longest deadline, up to a bound, and a little more.
-        let handover = longest.min(UPGRADE_MOST) + HANDOVER_SPARE;
+        let give_up = longest.min(if in_pairs { UPGRADE_MOST } else { RESTART_MOST }) + HANDOVER_SPARE;
         let clients = (sockets * CLIENT_SHARE).max(1.0);
         Ok(Self {
             clients: clients as usize,
@@ -213,7 +224,7 @@
             echo: 30.0,
             drain_grace: (num(rules, "drainGrace", 1.0)? - GRACE_MARGIN).max(0.0),
             poll: 0.2,
-            queries: 8,
+            queries: 40,
             datagram: 8_192,
             list: 1 << 20,
             watch: 30.0,
@@ -224,8 +235,11 @@
             catch_up: 0.1,
             remembered: 60.0,
             callers: CALLERS,
-            grace: if in_pairs { handover - ANSWERS_OUT } else { 1.0 },
-            handover,
+            accept_pause: 0.05,
+            accepts: 64,
+            grace: if in_pairs { give_up - ANSWERS_OUT } else { 1.0 },
+            give_up,
+            last_answers: LAST_ANSWERS,
         })
     }
 }
--- a/src/link/resp/mod.rs
+++ b/src/link/resp/mod.rs
@@ -13,6 +13,7 @@
 use dahliaspoke_bodies::spool::{Pull, Reader};
 use reply::{Reply, Word};
 use std::collections::{HashMap, VecDeque};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -239,7 +240,12 @@
         let limits = self.shared.limits.clone();
         let engine = self.engines.get_mut(id).filter(|e| !e.is_closed(now)).ok_or(Ending::NotSent)?;
         let address = engine.address;
-        let channel = Channel::connect(address).map_err(|_| Ending::NotSent)?;
+        let channel = Channel::connect(address).map_err(|error| match error.kind() {
+            io::ErrorKind::ConnectionRefused => Ending::Refused,
+            io::ErrorKind::HostUnreachable | io::ErrorKind::NetworkUnreachable => Ending::NotSent,
+            // No descriptor, port or memory for it here: that says nothing of the engine.
+            _ => Ending::Full,
+        })?;
         let until = now + limits.dial;
         let line = |token| Line {
             channel,
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -46,20 +46,27 @@
         self.socket.local_addr()
     }
 
-    /// The next connection that waits, if there is one.
-    pub fn accept(&self) -> Option<Channel> {
+    /// The next connection that waits, if there is one. Fails where the system has no descriptor or memory for it: it
+    /// waits on.
+    pub fn accept(&self) -> io::Result<Option<Channel>> {
         loop {
             match self.socket.accept() {
                 Ok((stream, _)) => match Channel::accepted(stream) {
-                    Ok(channel) => return Some(channel),
+                    Ok(channel) => return Ok(Some(channel)),
                     Err(_) => continue, // it broke before it was taken
                 },
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => continue,
-                Err(_) => return None,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(None),
+                Err(e) => return Err(e),
             }
         }
     }
 
+    /// Names the socket to its part.
+    pub fn token(&self) -> Token {
+        self.token
+    }
+
     pub fn is_armed(&self) -> bool {
         self.armed
     }
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -112,6 +112,12 @@
         self.slots.iter().filter_map(|slot| slot.open.as_ref().map(|open| &open.connection))
     }
 
+    /// The tokens of all connections.
+    pub fn tokens(&self) -> Vec<Token> {
+        let open = self.slots.iter().enumerate().filter(|(_, slot)| slot.open.is_some());
+        open.map(|(place, slot)| Token::new(self.part, place as u32, slot.turn)).collect()
+    }
+
     /// The connection with the least of what `rank` gives, among those that it gives something.
     pub fn least<R: PartialOrd>(&self, rank: impl Fn(&C) -> Option<R>) -> Option<Token> {
         let mut least: Option<(R, Token)> = None;
--- a/src/points.rs
+++ b/src/points.rs
@@ -1,4 +1,4 @@
-//! Named points at which a test ends the program in the middle of its work. In the daemon's build there are none.
+//! Named points at which a test ends or stops the program in the middle of its work. In the daemon's build there are none.
 
 /// Comes to a point.
 #[cfg(not(feature = "points"))]
@@ -14,22 +14,28 @@
 #[cfg(not(feature = "points"))]
 pub fn set() {}
 
-/// Sets what the environment says: `point`, or `point@3` for the third time that the program comes there.
+/// Sets what the environment says, to end there or to stop: `point`, or `point@3` for the third time that the program
+/// comes there.
 #[cfg(feature = "points")]
 pub fn set() {
+    use rustix::process::Signal;
     use std::sync::atomic::{AtomicUsize, Ordering};
-    let Ok(said) = std::env::var("DAHLIASPOKE_KILL_AT") else { return };
-    let (name, times) = said.split_once('@').unwrap_or((&said, "1"));
-    let times = times.parse().unwrap_or(1usize);
-    let come = AtomicUsize::new(0);
-    let end = move || {
-        if come.fetch_add(1, Ordering::SeqCst) + 1 == times {
-            let own = rustix::process::getpid();
-            let _ = rustix::process::kill_process(own, rustix::process::Signal::KILL); // it does not come back
-            loop {
-                std::thread::park();
+    for (variable, signal) in [("DAHLIASPOKE_KILL_AT", Signal::KILL), ("DAHLIASPOKE_STOP_AT", Signal::STOP)] {
+        let Ok(said) = std::env::var(variable) else { continue };
+        let (name, times) = said.split_once('@').unwrap_or((&said, "1"));
+        let times = times.parse().unwrap_or(1usize);
+        let come = AtomicUsize::new(0);
+        let met = move || {
+            if come.fetch_add(1, Ordering::SeqCst) + 1 == times {
+                // One that is killed does not come back; one that is stopped goes on from here.
+                let _ = rustix::process::kill_process(rustix::process::getpid(), signal);
+                if signal == Signal::KILL {
+                    loop {
+                        std::thread::park();
+                    }
+                }
             }
-        }
-    };
-    fail::cfg_callback(name, end).unwrap_or_else(|e| println!("{name}: {e}"));
+        };
+        fail::cfg_callback(name, met).unwrap_or_else(|e| println!("{name}: {e}"));
+    }
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -591,7 +591,7 @@
             self.carry_out(now, out);
         } else if let (Listener::PLACE, Some(listener)) = (ready.token.place, &self.listener) {
             while self.table.len() < self.connections {
-                let Some(channel) = listener.accept() else { break };
+                let Ok(Some(channel)) = listener.accept() else { break };
                 // A connection that cannot be watched is closed again.
                 let _ = self.table.add(|token| Some(Link { channel, token, watches: false }));
             }
--- a/tests/daemon/mod.rs
+++ b/tests/daemon/mod.rs
@@ -2,12 +2,12 @@
 #![allow(dead_code)]
 
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{channel, Receiver};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Far beyond what anything here takes: only a failure waits so long.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -36,6 +36,15 @@
     pub fn address(&self) -> SocketAddr {
         self.listener.local_addr().expect("bound")
     }
+
+    /// The next connection that comes.
+    pub fn next(&self) -> TcpStream {
+        self.listener.set_nonblocking(true).expect("set");
+        let stream = within(&format!("a connection to {}", self.id), || self.listener.accept().ok()).0;
+        self.listener.set_nonblocking(false).expect("set");
+        stream.set_nonblocking(false).expect("set");
+        stream
+    }
 }
 
 pub struct Daemon {
@@ -62,6 +71,18 @@
     )
 }
 
+/// Looks until it finds.
+fn within<T>(what: &str, mut find: impl FnMut() -> Option<T>) -> T {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = find() {
+            return found;
+        }
+        assert!(Instant::now() < until, "waits for {what}");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
 impl Daemon {
     /// Starts the program with these files in its `deploy/`.
     pub fn start(config: &str, files: &[(&str, String)], held: Option<&TcpListener>) -> Self {
@@ -155,13 +176,22 @@
         let number = self.child.id().to_string();
         let done = Command::new("kill").args(["-s", name, &number]).status().expect("kill runs");
         assert!(done.success());
-        // One that is to stop has stopped: what comes from here on meets nobody.
-        let state = || std::fs::read_to_string(format!("/proc/{number}/stat")).expect("it is there");
-        while name == "STOP" && !state().contains(") T ") {
-            std::thread::yield_now();
+        if name == "STOP" {
+            self.stopped();
         }
     }
 
+    /// Waits until it has stopped: what comes from here on meets nobody.
+    pub fn stopped(&self) {
+        let state = || std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("it runs");
+        within("its stop", || state().contains(") T ").then_some(()));
+    }
+
+    /// How it ends.
+    pub fn ended(&mut self) -> ExitStatus {
+        within("its end", || self.child.try_wait().expect("it was started"))
+    }
+
     /// Descriptors that it has open.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
--- /dev/null
+++ b/tests/descriptors.rs
@@ -0,0 +1,41 @@
+//! Descriptors run out: idle clients make room, and nothing else is lost.
+
+mod daemon;
+
+use daemon::{config, names, Daemon, Named, PATIENCE};
+use rustix::process::{prlimit, Pid, Resource, Rlimit};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+fn connected(daemon: &Daemon) -> TcpStream {
+    let stream = TcpStream::connect(daemon.http.expect("it listens")).expect("connected");
+    stream.set_read_timeout(Some(PATIENCE)).expect("set");
+    stream
+}
+
+/// Whether it is asked for its health and answers on that connection.
+fn answers(stream: &mut TcpStream) -> bool {
+    let sent = stream.write_all(b"GET /_health HTTP/1.1\r\n\r\n");
+    sent.is_ok() && stream.read(&mut [0; 256]).is_ok_and(|count| count > 0)
+}
+
+#[test]
+fn a_client_that_rests_makes_room_where_the_system_has_no_descriptor() {
+    let (engine, names) = (Named::new("e1"), names());
+    let config = config(&[("e1", engine.address())], names.local_addr().expect("bound"));
+    let daemon = Daemon::start(&config, &[], None);
+    let mut crowd: Vec<TcpStream> = (0..20).map(|_| connected(&daemon)).collect();
+    assert!(crowd.iter_mut().all(answers));
+    // What the program plans with is more than what there is from here on.
+    let held = Some(daemon.descriptors() as u64);
+    let pid = Pid::from_raw(daemon.child.id() as i32);
+    prlimit(pid, Resource::Nofile, Rlimit { current: held, maximum: held }).expect("lowered");
+    // A number or two below that may be free.
+    let mut new: Vec<TcpStream> = (0..6).map(|_| connected(&daemon)).collect();
+    assert!(new.iter_mut().all(answers), "a new client finds no place");
+    let left = crowd.iter_mut().filter_map(|stream| answers(stream).then_some(())).count();
+    assert!(
+        (14..20).contains(&left),
+        "{left} of twenty that rested are left: one makes room for each that finds none"
+    );
+}
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -9,6 +9,7 @@
 //!   `m...` is a client of the MySQL front, `e...` an engine, `names` the directory, `consul` its agent, `p...` a
 //!   member of the store that is watched, `s...` an operator's connection to it, `o...` one to the operators' door;
 //! - `e1+` is another connection to that engine, beside the first;
+//! - `start e1 stops@client.overdue`: it stops where it first comes to that point, and `stopped` waits for that;
 //! - `signal STOP`: it has stopped from here on, until `signal CONT`;
 //! - `a ended`, `a close`: its connection was ended, or it ends it; `a shuts`: it writes nothing more, and reads on; `e1 next`: the engine's next connection;
 //! - `e1 gone`: nobody listens there any more; `e1 deaf`: connections to it do not come up; `e1 hears`: they do again, those
@@ -135,7 +136,7 @@
     fn stream(&mut self, who: &str) -> &mut TcpStream {
         if !self.streams.contains_key(who) {
             let stream = match self.engines.get(who.trim_end_matches('+')) {
-                Some(engine) => engine.listener.accept().expect("a connection").0,
+                Some(engine) => engine.next(),
                 None => {
                     let daemon = self.daemon.as_ref().expect("started");
                     let door = match who.as_bytes()[0] {
@@ -232,7 +233,14 @@
                 let config = self.config();
                 let held = parts.contains(&"inherits").then(|| TcpListener::bind("127.0.0.1:0"));
                 self.held = held.map(|socket| socket.expect("a port"));
-                self.daemon = Some(Daemon::start(&config, &files, self.held.as_ref()));
+                let stop = parts.iter().find_map(|part| part.strip_prefix("stops@"));
+                self.daemon = Some(match stop {
+                    None => Daemon::start(&config, &files, self.held.as_ref()),
+                    Some(point) => {
+                        let first = format!("export DAHLIASPOKE_STOP_AT={point};");
+                        Daemon::start_with(&config, &files, &first)
+                    }
+                });
             }
             ("beside", _) => {
                 let held = self.held.as_ref().expect("inherits");
@@ -244,6 +252,7 @@
                 self.step(rest);
                 std::mem::swap(&mut self.daemon, &mut self.old);
             }
+            ("stopped", _) => self.daemon.as_ref().expect("started").stopped(),
             ("signal", name) => self.daemon.as_ref().expect("started").signal(name),
             ("crowd", _) => {
                 let http = self.daemon.as_ref().and_then(|d| d.http).expect("started");
@@ -264,7 +273,7 @@
             ("again", _) => self.daemon = self.daemon.take().map(Daemon::again),
             ("line", _) => drop(self.daemon.as_ref().expect("started").line(rest)),
             ("exit", code) => {
-                let status = self.daemon.as_mut().expect("started").child.wait().expect("it ends");
+                let status = self.daemon.as_mut().expect("started").ended();
                 assert_eq!(status.code().map(|c| c.to_string()).as_deref(), Some(code));
             }
             ("names", "<") => {
