--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -433,6 +433,9 @@
                 if let FrontEvent::Ask(ask) = &mut event {
                     // A client's time runs from when it asked, and that may have been before a sleep.
                     ask.deadline -= now - self.sleep.came(now);
+                    if matches!(self.life, Life::GivenUp(_)) {
+                        ask.deadline = now; // it is refused at once
+                    }
                 }
                 let (core, mut doors) = self.doors();
                 core.front_event(now, event, &mut doors);
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -148,6 +148,9 @@
         let Some(open) = self.open(token) else { return };
         open.finishing |= flow == Flow::Finish;
         let mut over = flow == Flow::Close;
+        if !over && !open.connection.channel().connecting && open.connection.channel().queued() > 0 {
+            over = open.connection.before_write(now, shared) == Flow::Close;
+        }
         if !over && open.push_out().is_err() {
             open.read_rest(now, shared);
             over = true;
