--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -19,6 +19,31 @@
     sent.is_ok() && stream.read(&mut [0; 256]).is_ok_and(|count| count > 0)
 }
 
+#[test]
+fn engines_and_the_shutdown_get_theirs_while_idle_clients_fill_their_part() {
+    // The directory never answers.
+    let (engine, names) = (Named::new("e1"), names());
+    let config = config(&[("e1", engine.address())], names.local_addr().expect("bound"));
+    let mut daemon = Daemon::start(&config, &[], None);
+    // More than it has places for; none of them says anything.
+    let crowd: Vec<TcpStream> = (0..300).map(|_| connected(&daemon)).collect();
+    let mut client = connected(&daemon);
+    let call = "POST /invoke/lookup HTTP/1.1\r\nX-Job-Id: 0000000000000001\r\nX-Allow-Ms: 3000\r\nContent-Length: 8\r\n\r\nSELECT 1";
+    client.write_all(call.as_bytes()).expect("sent");
+    let mut line = engine.next();
+    line.set_read_timeout(Some(PATIENCE)).expect("set");
+    assert!(matches!(line.read(&mut [0; 256]), Ok(1..)), "the engine is sent the call");
+    assert!(daemon.descriptors() <= 256, "{} descriptors", daemon.descriptors());
+    let answer = "*4\r\n$16\r\n0000000000000001\r\n$4\r\ndata\r\n$7\r\ntotal=1\r\n$0\r\n\r\n";
+    line.write_all(answer.as_bytes()).expect("sent");
+    let mut got = [0; 256];
+    let count = client.read(&mut got).expect("answered");
+    assert!(got[..count].starts_with(b"HTTP/1.1 200"), "{}", got[..count].escape_ascii());
+    daemon.signal("TERM");
+    assert_eq!(daemon.ended().code(), Some(0));
+    drop(crowd);
+}
+
 #[test]
 fn a_client_that_rests_makes_room_where_the_system_has_no_descriptor() {
     let (engine, names) = (Named::new("e1"), names());
