Exchanges wait for counters in place of reading them once

Seen: one of eight runs of the new exchanges under twelve busy loops failed: SIGUSR1 was taken before the call that stood ready beside it, and its line was read once.

--- a/tests/daemon/mod.rs
+++ b/tests/daemon/mod.rs
@@ -181,6 +181,14 @@
         }
     }
 
+    /// Waits until its counters hold that.
+    pub fn counts(&self, text: &str) {
+        within(text, || {
+            self.signal("USR1");
+            self.line("counters").contains(text).then_some(())
+        });
+    }
+
     /// Waits until it has stopped: what comes from here on meets nobody.
     pub fn stopped(&self) {
         let state = || std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("it runs");
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -10,6 +10,7 @@
 //!   member of the store that is watched, `s...` an operator's connection to it, `o...` one to the operators' door;
 //! - `e1+` is another connection to that engine, beside the first;
 //! - `start e1 stops@client.overdue`: it stops where it first comes to that point, and `stopped` waits for that;
+//! - `counts sends=1`: its counters come to that, asked for by SIGUSR1 again and again;
 //! - `signal STOP`: it has stopped from here on, until `signal CONT`;
 //! - `a ended`, `a close`: its connection was ended, or it ends it; `a shuts`: it writes nothing more, and reads on; `e1 next`: the engine's next connection;
 //! - `e1 gone`: nobody listens there any more; `e1 deaf`: connections to it do not come up; `e1 hears`: they do again, those
@@ -271,6 +272,7 @@
             ("stalls", _) => self.daemon.as_ref().expect("started").stalls(rest),
             ("spoils", _) => self.daemon.as_ref().expect("started").configure("{"),
             ("again", _) => self.daemon = self.daemon.take().map(Daemon::again),
+            ("counts", _) => self.daemon.as_ref().expect("started").counts(rest),
             ("line", _) => drop(self.daemon.as_ref().expect("started").line(rest)),
             ("exit", code) => {
                 let status = self.daemon.as_mut().expect("started").ended();
