Read again: one place writes to a connection, one says how an attempt ends with it

Table wrote in two places, each with its own look at what must not go out; Open::write is the one now. Both links had the same three arms for an attempt whose connection ended (ended_by). What is ready is sorted in place and not copied each turn. The time to connect is read once. leavers.rs reads commands by the lab's reader. Behaviour and assertions as before.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -253,7 +253,7 @@
             // It may have slept between any two lines; what it then holds is old, and what waits for it comes first.
             if self.sleep.woke(self.clock.now(), None, self.limits.slept) {
                 self.catch_up(&mut ready)?;
-                self.take(&ready);
+                self.take(&mut ready);
             }
             let now = self.clock.now();
             self.alarms(now);
@@ -267,12 +267,12 @@
             if self.sleep.woke(self.clock.now(), Some(next), self.limits.slept) {
                 self.catch_up(&mut ready)?;
             }
-            self.take(&ready);
+            self.take(&mut ready);
         }
     }
 
     /// Lets each part do what its descriptors are ready for.
-    fn take(&mut self, ready: &[Ready]) {
+    fn take(&mut self, ready: &mut [Ready]) {
         let now = self.clock.now();
         // What the directory says, and that clients have gone, counts before anything is sent on.
         let rank = |part| match part {
@@ -281,10 +281,9 @@
             PLATFORM | MYSQL_FRONT => 2,
             _ => 3,
         };
-        let mut ready = ready.to_vec();
         ready.sort_by_key(|ready| rank(ready.token.part));
         for ready in ready {
-            self.ready(now, ready);
+            self.ready(now, *ready);
             self.carry(now);
         }
     }
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -174,10 +174,15 @@
                 return Some(token);
             }
             heard = Some(token);
-            self.table.ready(now, Ready { token, readable: true, writable: false }, &mut self.shared);
+            self.hear(now, token);
         }
     }
 
+    /// Reads what has come on a connection, before it might be closed.
+    fn hear(&mut self, now: Time, token: Token) {
+        self.table.ready(now, Ready { token, readable: true, writable: false }, &mut self.shared);
+    }
+
     /// Whether there is a place. Connections for which there is none wait in the kernel's line.
     fn has_room(&mut self) -> bool {
         self.table.len() < G::most(&G::state(&mut self.shared).limits)
@@ -218,9 +223,7 @@
             self.table.settle(now, token, Flow::Open, &mut self.shared);
         }
     }
-}
 
-impl<G: ClientConnection> Server<G> {
     /// The system has no descriptor left, or no memory: one that rests makes room, and the next is taken in a moment.
     /// Until then epoll must not tell of it again and again.
     fn pause(&mut self, now: Time) {
@@ -255,8 +258,9 @@
             if client.until().is_some_and(|until| until <= now) {
                 points::reach("client.overdue");
                 // What has come meanwhile must not meet a close: it is heard first, and may change the time.
-                let ready = Ready { token, readable: client.channel().has_input(), writable: false };
-                self.table.ready(now, ready, &mut self.shared);
+                if client.channel().has_input() {
+                    self.hear(now, token);
+                }
             }
             let Some(client) = self.table.get(token) else { continue };
             match client.until() {
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -181,6 +181,7 @@
         }
         // Before the platform's own patience ends: the longest deadline, up to a bound, and a little more.
         let give_up = longest.min(if in_pairs { UPGRADE_MOST } else { RESTART_MOST }) + HANDOVER_SPARE;
+        let connect = num(held, "connectTimeout", 0.25)?;
         let clients = (sockets * CLIENT_SHARE).max(1.0);
         Ok(Self {
             clients: clients as usize,
@@ -216,10 +217,10 @@
             pool: 128,
             engine_sessions: 16,
             lines: ((sockets - clients) as usize).saturating_sub(OWN),
-            connect: num(held, "connectTimeout", 0.25)?,
-            redial: num(held, "connectTimeout", 0.25)? / REDIAL_PART,
+            connect,
+            redial: connect / REDIAL_PART,
             spare_dials: 2,
-            dial: num(held, "connectTimeout", 0.25)? * DIAL_TIMES,
+            dial: connect * DIAL_TIMES,
             engine_idle: num(held, "connIdle", 15.0)? * IDLE_SHARE,
             echo: 30.0,
             drain_grace: (num(rules, "drainGrace", 1.0)? - GRACE_MARGIN).max(0.0),
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -3,11 +3,21 @@
 pub mod mysql;
 pub mod resp;
 
-use crate::net::{Time, Token};
+use crate::core::Ending;
+use crate::net::{Channel, Time, Token};
 use dahliaspoke::interface::{EngineId, Lifecycle};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+/// How an attempt ends with its connection; `unsent` where no byte of it went out.
+fn ended_by(channel: &Channel, unsent: bool) -> Ending {
+    match unsent {
+        true if channel.refused => Ending::Refused,
+        true => Ending::NotSent,
+        false => Ending::Broken,
+    }
+}
+
 /// An engine as a link knows it.
 pub struct Engine {
     pub address: SocketAddr,
--- a/src/link/mysql/mod.rs
+++ b/src/link/mysql/mod.rs
@@ -3,7 +3,7 @@
 
 mod sending;
 
-use super::Engines;
+use super::{ended_by, Engines};
 use crate::bodies;
 use crate::core::{Call, Ending, Link, News, Work};
 use crate::limits::Limits;
@@ -307,11 +307,7 @@
         let unsent = self.is_unsent();
         self.end_sending(shared);
         if let Some(run) = self.running.take() {
-            let ending = match unsent {
-                true if self.channel.refused => Ending::Refused,
-                true => Ending::NotSent,
-                false => Ending::Broken,
-            };
+            let ending = ended_by(&self.channel, unsent);
             shared.news.push_back(News::Ended { id: run.id, attempt: run.attempt, ending, report: None });
         }
     }
--- a/src/link/resp/mod.rs
+++ b/src/link/resp/mod.rs
@@ -3,7 +3,7 @@
 
 mod reply;
 
-use super::Engines;
+use super::{ended_by, Engines};
 use crate::bodies;
 use crate::core::{Call, Ending, Link, News};
 use crate::limits::Limits;
@@ -587,11 +587,7 @@
                 shared.again.push(run);
                 continue;
             }
-            let ending = match unsent {
-                true if self.channel.refused => Ending::Refused,
-                true => Ending::NotSent,
-                false => Ending::Broken,
-            };
+            let ending = ended_by(&self.channel, unsent);
             shared.news.push_back(ended(&id, run.call.attempt, ending, None));
         }
     }
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -147,15 +147,7 @@
     pub fn settle(&mut self, now: Time, token: Token, flow: Flow, shared: &mut C::Shared) {
         let Some(open) = self.open(token) else { return };
         open.finishing |= flow == Flow::Finish;
-        let mut over = flow == Flow::Close;
-        if !over && !open.connection.channel().connecting && open.connection.channel().queued() > 0 {
-            over = open.connection.before_write(now, shared) == Flow::Close;
-        }
-        if !over && open.push_out().is_err() {
-            open.read_rest(now, shared);
-            over = true;
-        }
-        if over {
+        if flow == Flow::Close || open.write(now, shared) == Flow::Close {
             return self.close(now, token, shared);
         }
         // A connection with bytes unwritten and a full input is read on: a close must be seen. What is read
@@ -202,11 +194,7 @@
         // What the peer sent counts before what becomes of a write: one that has answered and gone takes no bytes.
         let mut flow = if ready.readable { self.read(now, shared) } else { Flow::Open };
         if ready.writable && flow == Flow::Open {
-            flow = self.connection.before_write(now, shared);
-            if flow == Flow::Open && self.connection.channel().flush().is_err() {
-                self.read_rest(now, shared);
-                return Flow::Close;
-            }
+            flow = self.write(now, shared);
             if flow == Flow::Open {
                 flow = self.connection.writable(now, shared);
             }
@@ -236,14 +224,22 @@
         }
     }
 
-    /// Writes; once a finishing connection has written all, its side is shut down.
-    fn push_out(&mut self) -> io::Result<()> {
+    /// Writes what is queued and may still go out; once a finishing connection has written all, its side is shut down.
+    fn write(&mut self, now: Time, shared: &mut C::Shared) -> Flow {
         let channel = self.connection.channel();
-        channel.flush()?;
+        let queued = !channel.connecting && channel.queued() > 0;
+        if queued && self.connection.before_write(now, shared) == Flow::Close {
+            return Flow::Close;
+        }
+        let channel = self.connection.channel();
+        if channel.flush().is_err() {
+            self.read_rest(now, shared);
+            return Flow::Close;
+        }
         if self.finishing && !self.ended && channel.queued() == 0 {
             channel.finish_writing();
             self.ended = true;
         }
-        Ok(())
+        Flow::Open
     }
 }
--- a/tests/leavers.rs
+++ b/tests/leavers.rs
@@ -6,8 +6,9 @@
 mod daemon;
 
 use daemon::{config, names, Daemon, Named, PATIENCE};
+use dahliaspoke_lab::standin::command;
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -15,27 +16,6 @@
 /// When attempts reached the engines, by request.
 type Reached = Arc<Mutex<HashMap<String, Vec<Instant>>>>;
 
-/// A line that holds a number behind that sign.
-fn number(reader: &mut BufReader<TcpStream>, sign: char) -> Option<usize> {
-    let mut line = String::new();
-    reader.read_line(&mut line).ok()?;
-    line.trim_end().strip_prefix(sign)?.parse().ok()
-}
-
-/// One command: its words.
-fn command(reader: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
-    let count = number(reader, '*')?;
-    let mut words = Vec::new();
-    for _ in 0..count {
-        let length = number(reader, '$')?;
-        let mut word = vec![0; length + 2];
-        reader.read_exact(&mut word).ok()?;
-        word.truncate(length);
-        words.push(String::from_utf8(word).ok()?);
-    }
-    Some(words)
-}
-
 /// Serves a connection: each query fails after a while, which differs.
 fn fail(stream: TcpStream, reached: &Reached) {
     let (mut reader, mut writer) = (BufReader::new(stream.try_clone().expect("a copy")), stream);
