Work and memory that engines tell with an answer are read and learned from

The log of every request has no work told with any answer.

At fault: Fields in src/link/resp/reply.rs knew nothing of `elapsed` and `rss`, and Core::end_event passed None on for both. The module took the settings' word that costs are told, left out the allowance for delays that stand in for costs, and reckoned every estimate, off by a factor of two, as true.

Change: an answer's work, memory and report travel as one value (Told) from the codec to the module. A figure that is none (not a number, below zero, infinite) counts as not told: the result is good all the same. The module does not believe more work than the engine's cores could have done in all the time that the client gave. The log of requests shows both.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,6 +34,7 @@
 const USED_SHARE: f64 = 0.6; // a bound grows only if the backlog used this share of it: anti-windup
 const FAST_QUANTILE: f64 = 0.25; // of delay per unit that counts as unhindered where no cost is told
 const TOLD_QUANTILE: f64 = 0.5; // the same where answers tell their cost: the middle
+const WORK_TIMES: f64 = 2.0; // most work told over what the engine's cores do: some are faster than nominal
 const GRANT_QUANTILE: f64 = 0.95; // of queries that get all the memory they need where only spills tell
 const NOTED_TIMES: f64 = 2.0; // expected delays still to go, by its notes, at which an attempt is called off
 const MEAN_STEP: f64 = 0.02; // weight of a sample in means by class: some 50 queries
@@ -721,10 +722,8 @@
         let harmless = class.effect == Effect::Repeatable || everywhere;
         let id = request.query.id.clone();
         if clean || harmless {
-            let most = self.settings.come_back;
-            let usual = COME_BACK_AIMS * class.aim;
-            let jitter = 0.5 + uniform(&mut self.rng);
-            let come_back = most.map(|most| (usual * jitter).min(most));
+            let usual = COME_BACK_AIMS * class.aim * (0.5 + uniform(&mut self.rng));
+            let come_back = self.settings.come_back.map(|most| usual.min(most));
             out.push(Action::Refuse { id, come_back });
         } else {
             out.push(Action::Fail { id });
@@ -773,14 +772,15 @@
         let delay = now - attempt.sent;
         request.finished |= ended.finished;
         let may_run_on = matches!(ended.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
-        if let Some(turn) = request.query.key.as_ref().and_then(|key| self.turns.get_mut(key)) {
-            if may_run_on {
-                turn.rest_until = now + self.settings.order_settle + 2.0 * self.settings.tick;
-            }
-        }
-        if ended.outcome == Outcome::Moot {
-            self.again.retain(|a| (a.1, a.2) != (number, ended.attempt));
+        // No query does more work than its engine could in all of its time: such a figure is not believed.
+        let most = self.engines.get(&attempt.engine).map_or(0.0, |e| WORK_TIMES * 1000.0 * e.cores);
+        let ended =
+            &Ended { work: ended.work.filter(|work| *work <= most * request.query.left), ..ended.clone() };
+        let turn = request.query.key.as_ref().and_then(|key| self.turns.get_mut(key));
+        if let Some(turn) = turn.filter(|_| may_run_on) {
+            turn.rest_until = now + self.settings.order_settle + 2.0 * self.settings.tick;
         }
+        self.again.retain(|a| ended.outcome != Outcome::Moot || (a.1, a.2) != (number, ended.attempt));
         self.judge(now, number, ended, delay);
         if ended.outcome == Outcome::Ok {
             self.done += self.requests[&number].cost / LATELY;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -125,10 +125,20 @@
     TurnedAway(usize),
 }
 
+/// What an engine told beside an attempt's end.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Told {
+    /// Work that the query needed (ms of one thread, at least 0).
+    pub work: Option<f64>,
+    /// Memory that it needed (MB, at least 0).
+    pub memory: Option<f64>,
+    pub report: Option<Report>,
+}
+
 /// What links tell the core.
 #[derive(Debug)]
 pub enum News {
-    Ended { id: RequestId, attempt: u32, ending: Ending, report: Option<Report> },
+    Ended { id: RequestId, attempt: u32, ending: Ending, told: Told },
     Noted { id: RequestId, attempt: u32, note: Note },
 }
 
@@ -368,7 +378,7 @@
     /// Takes what a link tells.
     pub fn news(&mut self, now: Time, news: News, doors: &mut [Door]) {
         match news {
-            News::Ended { id, attempt, ending, report } => {
+            News::Ended { id, attempt, ending, told } => {
                 let (outcome, parts) = match ending {
                     Ending::Served(parts) => (Outcome::Ok, Some(parts)),
                     Ending::Error => (Outcome::Error, None),
@@ -384,7 +394,7 @@
                 if let Some(parts) = parts {
                     self.answer(now, &id, Answer::Served(parts), doors);
                 }
-                self.ended(now, id, attempt, outcome, report, doors);
+                self.ended(now, id, attempt, outcome, told, doors);
             }
             News::Noted { id, attempt, note } => {
                 if self.is_out(&id, attempt) {
@@ -409,7 +419,7 @@
                     if self.end(&id, attempt) {
                         let unsent = doors[self.door(&id)].link.drop_call(now, &id, attempt);
                         let outcome = if unsent { Outcome::Unsent } else { Outcome::Timeout };
-                        self.ended(now, id, attempt, outcome, None, doors);
+                        self.ended(now, id, attempt, outcome, Told::default(), doors);
                     }
                 }
             }
@@ -438,26 +448,20 @@
         id: RequestId,
         attempt: u32,
         outcome: Outcome,
-        report: Option<Report>,
+        told: Told,
         doors: &mut [Door],
     ) {
-        let event = self.end_event(now, id.clone(), attempt, outcome, report);
+        let event = self.end_event(now, id.clone(), attempt, outcome, told);
         self.feed(now, event, doors);
         self.forget(&id);
     }
 
-    fn end_event(
-        &mut self,
-        now: Time,
-        id: RequestId,
-        attempt: u32,
-        outcome: Outcome,
-        report: Option<Report>,
-    ) -> Event {
+    fn end_event(&mut self, now: Time, id: RequestId, attempt: u32, outcome: Outcome, told: Told) -> Event {
         self.counters.ended(outcome);
-        self.trace.ended(now, &id, attempt, outcome, report);
+        self.trace.ended(now, &id, attempt, outcome, told);
         let finished = self.requests.get(&id).is_none_or(|r| r.over);
-        Event::Ended(Ended { id, attempt, outcome, finished, work: None, memory: None, report })
+        let Told { work, memory, report } = told;
+        Event::Ended(Ended { id, attempt, outcome, finished, work, memory, report })
     }
 
     /// Gives the final answer, unless there was one.
@@ -504,7 +508,7 @@
             Action::Cancel { id, attempt } => {
                 if self.end(&id, attempt) {
                     doors[self.door(&id)].link.drop_call(now, &id, attempt);
-                    let event = self.end_event(now, id.clone(), attempt, Outcome::Cancelled, None);
+                    let event = self.end_event(now, id.clone(), attempt, Outcome::Cancelled, Told::default());
                     self.events.push_back(event);
                     self.forget(&id);
                 }
@@ -551,7 +555,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         if request.over {
             request.attempts.push(Attempt { out: false, rank });
-            let event = self.end_event(now, id.clone(), attempt, Outcome::Moot, None);
+            let event = self.end_event(now, id.clone(), attempt, Outcome::Moot, Told::default());
             self.events.push_back(event);
             return self.forget(&id);
         }
--- a/src/core/trace.rs
+++ b/src/core/trace.rs
@@ -1,9 +1,10 @@
 //! A log line for each step of a request, for whoever counts over many coordinators. Off unless
 //! `deploy/trace.toml` says otherwise: at size it is most of what the program writes.
 
+use super::Told;
 use crate::config::optional;
 use crate::net::Time;
-use dahliaspoke::interface::{EngineId, Note, Outcome, Report, RequestId};
+use dahliaspoke::interface::{EngineId, Note, Outcome, RequestId};
 use dahliaspoke::settings::Res;
 use serde::Deserialize;
 use std::fmt;
@@ -41,12 +42,16 @@
         self.line(now, format_args!("sent {id} {attempt} {engine}"));
     }
 
-    /// Its cores, memory and disks, as parts in use, where the engine told any.
-    pub fn ended(self, now: Time, id: &RequestId, attempt: u32, outcome: Outcome, report: Option<Report>) {
-        let report = report.unwrap_or_default();
+    /// The engine's cores, memory and disks, as parts in use, and the attempt's work (ms) and memory (MB), where told.
+    pub fn ended(self, now: Time, id: &RequestId, attempt: u32, outcome: Outcome, told: Told) {
+        let report = told.report.unwrap_or_default();
+        let [work, need] = [told.work, told.memory].map(|n| n.map_or("-".into(), |n| format!("{n:.0}")));
         let [cores, memory, disks] = [report.util, report.memory, report.disk]
             .map(|part| part.map_or("-".into(), |p| format!("{p:.2}")));
-        self.line(now, format_args!("ended {id} {attempt} {outcome:?} {cores} {memory} {disks}"));
+        self.line(
+            now,
+            format_args!("ended {id} {attempt} {outcome:?} {cores} {memory} {disks} {work} {need}"),
+        );
     }
 
     pub fn noted(self, now: Time, id: &RequestId, attempt: u32, note: Note) {
--- a/src/link/resp/mod.rs
+++ b/src/link/resp/mod.rs
@@ -5,11 +5,11 @@
 
 use super::{ended_by, Engines};
 use crate::bodies;
-use crate::core::{Call, Ending, Link, News};
+use crate::core::{Call, Ending, Link, News, Told};
 use crate::limits::Limits;
 use crate::net::resp::{array, head, Malformed};
 use crate::net::{Channel, Connection, Flow, Part, Poller, Ready, Table, Time, Timers, Token};
-use dahliaspoke::interface::{EngineId, Lifecycle, Report, RequestId};
+use dahliaspoke::interface::{EngineId, Lifecycle, RequestId};
 use dahliaspoke_bodies::spool::{Pull, Reader};
 use reply::{Reply, Word};
 use std::collections::{HashMap, VecDeque};
@@ -68,7 +68,7 @@
     pages: Vec<Option<Vec<u8>>>,
     missing: usize,
     size: usize,
-    report: Option<Report>,
+    told: Told,
 }
 
 /// A connection to an engine; it belongs to the engine's id, never to the address.
@@ -166,7 +166,12 @@
             let Some(line) = self.table.get(token) else { continue };
             for id in Vec::from_iter(line.running.keys().cloned()) {
                 if let Some(run) = self.take_unsent(now, token, &id) {
-                    self.shared.news.push_back(ended(&id, run.call.attempt, Ending::NotSent, None));
+                    self.shared.news.push_back(ended(
+                        &id,
+                        run.call.attempt,
+                        Ending::NotSent,
+                        Told::default(),
+                    ));
                 }
             }
             // A connection that comes up from now on is of no use.
@@ -198,7 +203,7 @@
         let Some(token) = self.calls.get(&(id.clone(), attempt)).copied() else { return };
         let due = |line: &mut Line| line.running.get(id).is_some_and(|run| run.by <= now);
         if self.table.get(token).is_some_and(due) && self.take_unsent(now, token, id).is_some() {
-            self.shared.news.push_back(ended(id, attempt, Ending::NotSent, None));
+            self.shared.news.push_back(ended(id, attempt, Ending::NotSent, Told::default()));
             self.spare_dials(now, token);
         }
     }
@@ -311,14 +316,19 @@
             reader = spool.borrow_mut().reader(now, body);
             if reader.is_none() {
                 // Its body is gone: it is not sent, and cannot be.
-                return self.shared.news.push_back(ended(&call.id, call.attempt, Ending::Moot, None));
+                return self.shared.news.push_back(ended(
+                    &call.id,
+                    call.attempt,
+                    Ending::Moot,
+                    Told::default(),
+                ));
             }
         }
         let found = if now < by { self.line_for(now, &call) } else { Err(Ending::NotSent) };
         let token = match found {
             Ok(token) => token,
             Err(ending) => {
-                return self.shared.news.push_back(ended(&call.id, call.attempt, ending, None));
+                return self.shared.news.push_back(ended(&call.id, call.attempt, ending, Told::default()));
             }
         };
         self.put(now, token, call, reader, by, moves);
@@ -337,9 +347,9 @@
             line.sending = Some(Sending { id: call.id.clone(), reader, waits: false });
         }
         self.calls.insert((call.id.clone(), call.attempt), token);
-        let (pages, missing, size, report) = (Vec::new(), 0, 0, None);
+        let (pages, missing, size, told) = (Vec::new(), 0, 0, Told::default());
         let (id, attempt) = (call.id.clone(), call.attempt);
-        let run = Running { sent: now, by, moves, tag, pages, missing, size, report, call };
+        let run = Running { sent: now, by, moves, tag, pages, missing, size, told, call };
         line.running.insert(id.clone(), run);
         let connects = line.channel.connecting;
         let flow = line.send_on(now, &mut self.shared);
@@ -508,8 +518,8 @@
     }
 }
 
-fn ended(id: &RequestId, attempt: u32, ending: Ending, report: Option<Report>) -> News {
-    News::Ended { id: id.clone(), attempt, ending, report }
+fn ended(id: &RequestId, attempt: u32, ending: Ending, told: Told) -> News {
+    News::Ended { id: id.clone(), attempt, ending, told }
 }
 
 impl Connection for Line {
@@ -562,7 +572,7 @@
         self.running.retain(|id, run| {
             let late = run.by <= now && channel.take_back(run.tag);
             if late {
-                shared.news.push_back(ended(id, run.call.attempt, Ending::NotSent, None));
+                shared.news.push_back(ended(id, run.call.attempt, Ending::NotSent, Told::default()));
                 if sending.as_ref().is_some_and(|s| s.id == *id) {
                     flow = Flow::Close; // what is queued of its body must not go out
                 }
@@ -588,7 +598,7 @@
                 continue;
             }
             let ending = ended_by(&self.channel, unsent);
-            shared.news.push_back(ended(&id, run.call.attempt, ending, None));
+            shared.news.push_back(ended(&id, run.call.attempt, ending, Told::default()));
         }
     }
 }
@@ -643,14 +653,14 @@
             Word::Data { .. } | Word::Page { .. } if halfway => return Err(Malformed),
             Word::Health => return Err(Malformed),
             Word::Data { total } => {
-                if !self.data(&id, total, reply.report, shared)? {
+                if !self.data(&id, total, reply.told, shared)? {
                     return Ok(());
                 }
                 return self.page(now, id, 0, reply.body, shared);
             }
             Word::Page { index } => return self.page(now, id, index, reply.body, shared),
         };
-        self.end(now, &id, ending, reply.report, shared);
+        self.end(now, &id, ending, reply.told, shared);
         // With half a body on it the connection is of no more use.
         if halfway {
             Err(Malformed)
@@ -660,13 +670,7 @@
     }
 
     /// The result is ready: asks for all further pages at once. False for a second copy, which harms nothing.
-    fn data(
-        &mut self,
-        id: &RequestId,
-        total: usize,
-        report: Option<Report>,
-        shared: &Shared,
-    ) -> Result<bool, Malformed> {
+    fn data(&mut self, id: &RequestId, total: usize, told: Told, shared: &Shared) -> Result<bool, Malformed> {
         let run = self.running.get_mut(id).ok_or(Malformed)?;
         if !run.pages.is_empty() {
             return Ok(false);
@@ -677,7 +681,7 @@
         let total = total.max(1); // the first page is here in any case
         run.pages = vec![None; total];
         run.missing = total;
-        run.report = report;
+        run.told = told;
         for index in 1..total {
             self.channel.push(array(&[b"PAGE", id.as_bytes(), index.to_string().as_bytes()]));
         }
@@ -706,28 +710,21 @@
         if run.missing > 0 {
             return Ok(());
         }
-        let (pages, report) = (std::mem::take(&mut run.pages), run.report);
+        let (pages, told) = (std::mem::take(&mut run.pages), run.told);
         if pages.len() > 1 {
             self.channel.push(array(&[b"CLOSE", id.as_bytes()]));
         }
-        self.end(now, &id, Ending::Served(pages.into_iter().flatten().collect()), report, shared);
+        self.end(now, &id, Ending::Served(pages.into_iter().flatten().collect()), told, shared);
         Ok(())
     }
 
-    fn end(
-        &mut self,
-        now: Time,
-        id: &RequestId,
-        ending: Ending,
-        report: Option<Report>,
-        shared: &mut Shared,
-    ) {
+    fn end(&mut self, now: Time, id: &RequestId, ending: Ending, told: Told, shared: &mut Shared) {
         let Some(run) = self.running.remove(id) else { return };
         if !matches!(ending, Ending::Served(_)) {
             // A second copy of this end must not be taken for one of the next attempt.
             self.echoes.push((now + shared.limits.echo, id.clone()));
         }
-        shared.news.push_back(ended(id, run.call.attempt, ending, report));
+        shared.news.push_back(ended(id, run.call.attempt, ending, told));
         if self.running.is_empty() {
             self.until = now + shared.limits.engine_idle;
             shared.free.push(self.token);
--- a/src/link/resp/reply.rs
+++ b/src/link/resp/reply.rs
@@ -1,5 +1,6 @@
 //! An engine's answers.
 
+use crate::core::Told;
 use crate::limits::Limits;
 use crate::net::resp::{self, Malformed, Most};
 use dahliaspoke::interface::{Note, Report};
@@ -26,7 +27,7 @@
 pub struct Reply {
     pub id: String,
     pub word: Word,
-    pub report: Option<Report>,
+    pub told: Told,
     pub body: Vec<u8>,
 }
 
@@ -61,7 +62,7 @@
     if rows && !is_table(text(body)?) {
         return Err(Malformed);
     }
-    Ok(Reply { id: text(id)?.into(), word, report: fields.report()?, body: body.to_vec() })
+    Ok(Reply { id: text(id)?.into(), word, told: fields.told()?, body: body.to_vec() })
 }
 
 /// Whole rows of the wire's three text columns: spoilt ones must not be passed on.
@@ -96,6 +97,12 @@
         })
     }
 
+    fn told(&self) -> Result<Told, Malformed> {
+        // The result counts, whatever is said of its cost: a figure that cannot be one is as good as none.
+        let cost = |name| self.get(name).and_then(|v| number(v).ok()).filter(|cost| *cost >= 0.0);
+        Ok(Told { work: cost("elapsed"), memory: cost("rss"), report: self.report()? })
+    }
+
     fn report(&self) -> Result<Option<Report>, Malformed> {
         let Some(load) = self.get("l") else { return Ok(None) };
         let mut report = Report::default();
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -2,7 +2,7 @@
 //!
 //! - `start e1 e2`: the program starts and knows these engines; `mysql`, `consul` and
 //!   `store` switch these on, `memory`, `files` or `nothing` has it keep bodies over 10 bytes there, `inherits` has it inherit its listening socket,
-//!   `patient` has calls wait for a connection for as long as it takes, `brief` makes its window for repeats 0.5 s; `again`: the program starts once more,
+//!   `patient` has calls wait for a connection for as long as it takes, `brief` makes its window for repeats 0.5 s, `traced` has it tell of each step of a request; `again`: the program starts once more,
 //!   with what it has left behind; `beside`: the same beside the first, which is `old` from then on, as in
 //!   `old signal TERM`;
 //! - `a > bytes`, `a < bytes`: client `a` of the platform's front sends, or receives exactly that;
@@ -204,6 +204,9 @@
                 }
                 let known = self.known();
                 let mut files = Vec::new();
+                if parts.contains(&"traced") {
+                    files.push(("trace.toml", "requests = true\n".into()));
+                }
                 if parts.contains(&"mysql") {
                     let address = |(id, a): &(&str, SocketAddr)| format!("{id} = \"{a}\"");
                     let list = known.iter().map(address).collect::<Vec<_>>().join(", ");
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -381,3 +381,18 @@
     let (few, most) = (taken_of_six(1.0, 3), taken_of_six(1.0, 18));
     assert!(few >= 4 && most <= 3, "{few} of six with three of thirty cold, {most} with eighteen");
 }
+
+/// Engines tell what a query needed; a figure that no engine could have worked off is none.
+#[test]
+fn a_figure_of_work_beyond_all_bounds_is_not_believed() {
+    for work in [1e300, 1e9, f64::INFINITY, f64::NAN] {
+        let mut w = World::new(crowd(2, 0), &["e1"]);
+        for n in 0..10 {
+            let id = format!("r{n}");
+            let sent = sent_to(&w.query_with(Query { work: None, ..on(&id, 0.0) }));
+            assert_eq!(sent.len(), 1, "{work} told before: {id} is refused");
+            w.wait(0.1);
+            served(&mut w, &id, work);
+        }
+    }
+}
