In a large fleet starting bounds follow busy threads alone, without a cap in work

Ruled out, by a line for each of 782 refusals: engines that page (half of the engines of each list had memory to spare), delays (the loop's error was on the calm side in all but a few), cold engines. Each came with bounds at their ceiling, 1.2 times 2,500 ms a core, while queries held a thread for 2.7 to 7.4 s.

At fault: starting_bound in src/choice.rs took the lesser of 1.5 threads a core and a constant of work, also where gateways outnumber cores. A query that holds its thread for longer than that constant then had less than one thread a core for all gateways together.

Change: the constant counts only for the part in which gateways are few.

--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -237,7 +237,6 @@
 fn a_gateway_that_is_served_more_than_an_equal_part_takes_more_of_each_bound() {
     let ids: Vec<String> = (0..30).map(|n| format!("e{n}")).collect();
     let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
-    // So dear that bounds go by work and not by threads.
     const WORK: f64 = 1400.0;
     let full = |queries: usize, times: f64| {
         let mut w = World::new(crowd(100, 0), &ids);
@@ -261,7 +260,8 @@
 }
 
 /// Light queries keep as many threads busy with less work: a bound in work alone let a burst stand five times as many threads
-/// at each engine as its cores bear, and all stood still.
+/// at each engine as its cores bear, and all stood still. Queries that hold a thread for long fill threads with more work: a
+/// bound in work turned them away while half of all cores idled.
 #[test]
 fn bounds_at_size_go_by_threads_and_at_few_gateways_by_work() {
     let bounds = |gateways: usize, work: f64| {
@@ -278,7 +278,7 @@
     };
     let (light, dear, few) = (bounds(300, 300.0), bounds(300, 3000.0), bounds(2, 300.0));
     assert!(light < 0.4, "{light} of what it was before queries told how little they hold");
-    assert!(dear > 0.9 && few > 0.9, "dear queries {dear}, few gateways {few}");
+    assert!(dear > 2.0 && few > 0.9, "dear queries {dear}, few gateways {few}");
 }
 
 /// How many of six dear queries that come at once one of 100 gateways takes, after a minute in which each
