With few coordinators as well starting bounds follow busy threads

At fault: the same constant of work in starting_bound (src/choice.rs) where gateways are few. Costs as told are about twice the estimates, so the constant let in half of what it did, less than one thread a core.

Change: the constant is what light queries get at least, no cap for dear ones.

The scale test's new line on dear queries at few gateways fails without the change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -24,7 +24,7 @@
 const SLACK_SPREAD: f64 = 0.03; // growth of slack with falling worth (exponent of the ratio of worths)
 const DDR_CAP: f64 = 3.0; // most that one sample counts (ratio): one runaway must not close an engine
 const START_PER_CORE: f64 = 1900.0; // most that a starting bound is (ms a core): about two queries
-const START_ALL: f64 = 2500.0; // starting bounds of all gateways together (ms a core), where they are few
+const START_ALL: f64 = 2500.0; // starting bounds of all gateways together (ms a core), at least where few
 const THREADS: f64 = 1.5; // the same in threads a core: about where shared cores do most work
 const HOLD_BLIND: f64 = 1300.0; // work that a busy thread holds (ms), as long as queries are few
 const HOLD_FEW: f64 = 20.0; // so many of them
@@ -1057,11 +1057,11 @@
     }
 }
 
-/// This gateway's quiet-day share of an engine (ms of work). Where gateways outnumber its cores, one sees too
-/// late that the sum of all was too much: then threads count, and not work alone.
+/// This gateway's quiet-day share of an engine (ms of work): what keeps its threads busy. Light queries get more
+/// where gateways are few; where they outnumber cores, one sees too late that the sum of all was too much.
 fn starting_bound(settings: &Settings, cores: f64, hold: f64) -> f64 {
     let part = (cores / settings.gateways).min(1.0);
-    let all = START_ALL * part + THREADS * hold * (1.0 - part);
+    let all = THREADS * hold + part * (START_ALL - THREADS * hold).max(0.0);
     START_PER_CORE.min(all / settings.gateways) * cores
 }
 
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -276,9 +276,11 @@
         }
         w.bound("e1") / before
     };
-    let (light, dear, few) = (bounds(300, 300.0), bounds(300, 3000.0), bounds(2, 300.0));
+    let (light, dear) = (bounds(300, 300.0), bounds(300, 3000.0));
+    let (few, few_dear) = (bounds(2, 300.0), bounds(2, 3000.0));
     assert!(light < 0.4, "{light} of what it was before queries told how little they hold");
     assert!(dear > 2.0 && few > 0.9, "dear queries {dear}, few gateways {few}");
+    assert!(few_dear > 1.4, "dear queries at few gateways {few_dear}");
 }
 
 /// How many of six dear queries that come at once one of 100 gateways takes, after a minute in which each
