--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1057,8 +1057,8 @@
     }
 }
 
-/// This gateway's quiet-day share of an engine (ms of work): what keeps its threads busy. Light queries get more
-/// where gateways are few; where they outnumber cores, one sees too late that the sum of all was too much.
+/// This gateway's quiet-day share of an engine (ms of work): what keeps its threads busy. Few gateways give
+/// light queries more; where they outnumber cores, one sees too late that the sum of all was too much.
 fn starting_bound(settings: &Settings, cores: f64, hold: f64) -> f64 {
     let part = (cores / settings.gateways).min(1.0);
     let all = THREADS * hold + part * (START_ALL - THREADS * hold).max(0.0);
