Both links say an end with nothing told through one constructor; no copy of each end

Change: News::ended in the core builds such an event for both links, and the private twin in the RESP link is gone. The module takes the end by value, as it is handed one, and drops the figure in place.

Left as it is: the scan of further attempts at each end (its list is empty where no budget rations them, and bounded by one window where it does).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -301,7 +301,7 @@
             Event::Query(query) => self.on_query(now, query, out),
             Event::StreamStarted { id } => self.mark(&id, |request| request.streaming = true),
             Event::Spent { id } => self.mark(&id, |request| request.spent = true),
-            Event::Ended(ended) => self.on_ended(now, &ended, out),
+            Event::Ended(ended) => self.on_ended(now, ended, out),
             Event::Noted { id, attempt, note } => self.on_note(now, &id, attempt, note, out),
             Event::ClientLeft { id } => {
                 self.numbers.get(&id).copied().into_iter().for_each(|n| self.close(n, out))
@@ -763,7 +763,7 @@
 
     // ---- Outcomes ----
 
-    fn on_ended(&mut self, now: f64, ended: &Ended, out: &mut Out) {
+    fn on_ended(&mut self, now: f64, mut ended: Ended, out: &mut Out) {
         let Some(&number) = self.numbers.get(&ended.id) else { return };
         let Some(request) = self.requests.get_mut(&number) else { return };
         let attempt = request.attempts.get_mut(ended.attempt as usize);
@@ -774,14 +774,13 @@
         let may_run_on = matches!(ended.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
         // No query does more work than its engine could in all of its time: such a figure is not believed.
         let most = self.engines.get(&attempt.engine).map_or(0.0, |e| WORK_TIMES * 1000.0 * e.cores);
-        let ended =
-            &Ended { work: ended.work.filter(|work| *work <= most * request.query.left), ..ended.clone() };
+        ended.work = ended.work.filter(|work| *work <= most * request.query.left);
         let turn = request.query.key.as_ref().and_then(|key| self.turns.get_mut(key));
         if let Some(turn) = turn.filter(|_| may_run_on) {
             turn.rest_until = now + self.settings.order_settle + 2.0 * self.settings.tick;
         }
         self.again.retain(|a| ended.outcome != Outcome::Moot || (a.1, a.2) != (number, ended.attempt));
-        self.judge(now, number, ended, delay);
+        self.judge(now, number, &ended, delay);
         if ended.outcome == Outcome::Ok {
             self.done += self.requests[&number].cost / LATELY;
             self.learn(number, delay, ended.work);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -142,6 +142,13 @@
     Noted { id: RequestId, attempt: u32, note: Note },
 }
 
+impl News {
+    /// An attempt's end with nothing told beside it.
+    pub fn ended(id: &RequestId, attempt: u32, ending: Ending) -> Self {
+        News::Ended { id: id.clone(), attempt, ending, told: Told::default() }
+    }
+}
+
 /// Where requests come from.
 pub trait Front {
     /// Gives a request its final answer. One whose client has gone is passed over.
--- a/src/link/mysql/mod.rs
+++ b/src/link/mysql/mod.rs
@@ -5,7 +5,7 @@
 
 use super::{ended_by, Engines};
 use crate::bodies;
-use crate::core::{Call, Ending, Link, News, Told, Work};
+use crate::core::{Call, Ending, Link, News, Work};
 use crate::limits::Limits;
 use crate::mysql::auth;
 use crate::mysql::config::Mysql;
@@ -223,8 +223,7 @@
         let token = self.line_for(now, &call);
         let Some(line) = token.and_then(|t| self.table.get(t)) else {
             // There is no place for it here, which says nothing of whether the engine can be reached.
-            let (id, attempt, ending, told) = (call.id, call.attempt, Ending::Full, Told::default());
-            return self.shared.news.push_back(News::Ended { id, attempt, ending, told });
+            return self.shared.news.push_back(News::ended(&call.id, call.attempt, Ending::Full));
         };
         let token = line.token;
         let (id, attempt, tag) = (call.id.clone(), call.attempt, None);
@@ -308,12 +307,7 @@
         self.end_sending(shared);
         if let Some(run) = self.running.take() {
             let ending = ended_by(&self.channel, unsent);
-            shared.news.push_back(News::Ended {
-                id: run.id,
-                attempt: run.attempt,
-                ending,
-                told: Told::default(),
-            });
+            shared.news.push_back(News::ended(&run.id, run.attempt, ending));
         }
     }
 }
@@ -525,12 +519,7 @@
         self.until = now + shared.limits.engine_idle;
         let run = self.running.take().ok_or(Malformed)?;
         let ending = ending(packets)?;
-        shared.news.push_back(News::Ended {
-            id: run.id,
-            attempt: run.attempt,
-            ending,
-            told: Told::default(),
-        });
+        shared.news.push_back(News::ended(&run.id, run.attempt, ending));
         Ok(())
     }
 }
--- a/src/link/resp/mod.rs
+++ b/src/link/resp/mod.rs
@@ -166,12 +166,7 @@
             let Some(line) = self.table.get(token) else { continue };
             for id in Vec::from_iter(line.running.keys().cloned()) {
                 if let Some(run) = self.take_unsent(now, token, &id) {
-                    self.shared.news.push_back(ended(
-                        &id,
-                        run.call.attempt,
-                        Ending::NotSent,
-                        Told::default(),
-                    ));
+                    self.shared.news.push_back(News::ended(&id, run.call.attempt, Ending::NotSent));
                 }
             }
             // A connection that comes up from now on is of no use.
@@ -203,7 +198,7 @@
         let Some(token) = self.calls.get(&(id.clone(), attempt)).copied() else { return };
         let due = |line: &mut Line| line.running.get(id).is_some_and(|run| run.by <= now);
         if self.table.get(token).is_some_and(due) && self.take_unsent(now, token, id).is_some() {
-            self.shared.news.push_back(ended(id, attempt, Ending::NotSent, Told::default()));
+            self.shared.news.push_back(News::ended(id, attempt, Ending::NotSent));
             self.spare_dials(now, token);
         }
     }
@@ -316,19 +311,14 @@
             reader = spool.borrow_mut().reader(now, body);
             if reader.is_none() {
                 // Its body is gone: it is not sent, and cannot be.
-                return self.shared.news.push_back(ended(
-                    &call.id,
-                    call.attempt,
-                    Ending::Moot,
-                    Told::default(),
-                ));
+                return self.shared.news.push_back(News::ended(&call.id, call.attempt, Ending::Moot));
             }
         }
         let found = if now < by { self.line_for(now, &call) } else { Err(Ending::NotSent) };
         let token = match found {
             Ok(token) => token,
             Err(ending) => {
-                return self.shared.news.push_back(ended(&call.id, call.attempt, ending, Told::default()));
+                return self.shared.news.push_back(News::ended(&call.id, call.attempt, ending));
             }
         };
         self.put(now, token, call, reader, by, moves);
@@ -518,10 +508,6 @@
     }
 }
 
-fn ended(id: &RequestId, attempt: u32, ending: Ending, told: Told) -> News {
-    News::Ended { id: id.clone(), attempt, ending, told }
-}
-
 impl Connection for Line {
     type Shared = Shared;
 
@@ -572,7 +558,7 @@
         self.running.retain(|id, run| {
             let late = run.by <= now && channel.take_back(run.tag);
             if late {
-                shared.news.push_back(ended(id, run.call.attempt, Ending::NotSent, Told::default()));
+                shared.news.push_back(News::ended(id, run.call.attempt, Ending::NotSent));
                 if sending.as_ref().is_some_and(|s| s.id == *id) {
                     flow = Flow::Close; // what is queued of its body must not go out
                 }
@@ -598,7 +584,7 @@
                 continue;
             }
             let ending = ended_by(&self.channel, unsent);
-            shared.news.push_back(ended(&id, run.call.attempt, ending, Told::default()));
+            shared.news.push_back(News::ended(&id, run.call.attempt, ending));
         }
     }
 }
@@ -724,7 +710,8 @@
             // A second copy of this end must not be taken for one of the next attempt.
             self.echoes.push((now + shared.limits.echo, id.clone()));
         }
-        shared.news.push_back(ended(id, run.call.attempt, ending, told));
+        let (id, attempt) = (id.clone(), run.call.attempt);
+        shared.news.push_back(News::Ended { id, attempt, ending, told });
         if self.running.is_empty() {
             self.until = now + shared.limits.engine_idle;
             shared.free.push(self.token);
