A change of members is told as done only once no split can undo it

Seen: on a slower machine members_change_while_links_are_cut failed with "another change of members is under way": the fifth member had been told as counting while its promotion stood in the leader's log alone, and the split came then. Ruled out: the core; to refuse a second change is right there. At fault: STATUS lists the members of the last entry about them, whether that counts or not; `member add` and the tests' `bring_in` took the line for done. An operator who is told "counts" could lose that by a split. Change: STATUS names the entry that does not count yet (`changing=`), both wait until there is none. A test that gives a member a new disk waits until its new self has presented itself: until then the old one is listed.

--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -236,7 +236,9 @@
             _ => None,
         });
         if let Some(text) = said.next_back() {
-            let waits = text.lines().any(|line| line.starts_with(&format!("waits={name} ")));
+            // It waits to come in, or a change of members may still be undone.
+            let waits = format!("waits={name} ");
+            let waits = text.lines().any(|line| line.starts_with(&waits) || line.starts_with("changing="));
             let counts =
                 |line: &str| line.starts_with(&format!("member={name} ")) && line.contains(" voter ");
             if !waits && text.lines().any(counts) {
--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -54,6 +54,19 @@
     assert_eq!(said(&run(&address.to_string(), &["get", "k"])).0, 1);
 }
 
+#[test]
+fn a_member_is_said_to_count_once_its_change_cannot_be_undone() {
+    const CHANGING: &str =
+        "$72\r\nname=c0 role=leader term=1\nchanging=9\nmember=c1 127.0.0.1:1 voter has=9\n\r\n";
+    const DONE: &str = "$61\r\nname=c0 role=leader term=1\nmember=c1 127.0.0.1:1 voter has=9\n\r\n";
+    const ANSWERS: [&str; 3] = [CHANGING, "-REFUSED another change of members is under way\r\n", DONE];
+    let (address, asked) = member(&ANSWERS);
+    let (code, out, _) = said(&run(&address.to_string(), &["member", "add", "c1"]));
+    assert_eq!((code, out.as_str()), (0, "c1 counts\n"));
+    let asked = asked.join().expect("no panic");
+    assert!(asked[1].contains("ADD") && asked[2].contains("STATUS"), "{asked:?}");
+}
+
 #[test]
 fn a_bad_word_ends_with_2_nobody_with_3_and_what_nobody_knows_with_4() {
     assert_eq!(said(&run("127.0.0.1:1", &["sett"])).0, 2);
--- a/crates/quorum/src/raft.rs
+++ b/crates/quorum/src/raft.rs
@@ -449,6 +449,11 @@
         self.members.last().map_or(&NONE, |(_, members)| members)
     }
 
+    /// The entry that says who the [`members`](Self::members) are, while it does not count yet: it may be undone.
+    pub fn changing(&self) -> Option<Index> {
+        self.members.last().map(|(index, _)| *index).filter(|index| *index > self.commit)
+    }
+
     /// How long ago the leader was last heard of, or, at the leader, a majority (us).
     pub fn silence(&self, now: Micros) -> Micros {
         now.saturating_sub(if self.leads() { self.majority_heard() } else { self.heard })
@@ -798,10 +803,9 @@
 
     fn change(&mut self, ticket: u64, change: Change, out: &mut Vec<Order>) {
         let mut members = self.members().clone();
-        let under_way = self.members.last().is_some_and(|(index, _)| *index > self.commit);
         let why = if !self.leads() {
             Some(Refusal::NotLeader(self.leader))
-        } else if under_way {
+        } else if self.changing().is_some() {
             Some(Refusal::NotNow("another change of members is under way"))
         } else if self.log.term(self.commit) != Some(self.hard.term) {
             // Two leaders might each change by one, from different beginnings.
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -502,6 +502,10 @@
             raft.last(),
             raft.snapshot().index
         );
+        if let Some(index) = raft.changing() {
+            // A split may still undo what the lines of members say.
+            let _ = writeln!(text, "changing={index}");
+        }
         let _ = writeln!(text, "heard_ms={}", replica.age_ms(now));
         for (id, member) in raft.members() {
             let kind = if member.votes { "voter" } else { "learner" };
--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -32,7 +32,7 @@
         fleet.mend();
         assert_eq!(get(&mut fleet, &key), value);
         // It lost its disk: it is another member of the same name, and comes in anew.
-        bring_in(&mut fleet, &format!("c{took}"));
+        bring_in_anew(&mut fleet, &format!("c{took}"));
     }
 }
 
@@ -489,6 +489,9 @@
     let out = format!("c{}", minor[1]);
     let said = ask(fleet.doors[led]["store"], &["MEMBER", "REMOVE", &out]).expect("an answer");
     assert!(said.starts_with("-UNKNOWN") || said.starts_with("-LEADER"), "{said}");
+    // One that took it says that it does not count yet.
+    let told = until("it tells", || Some(status(&fleet, led)).filter(|told| !told.is_empty()));
+    assert_eq!(told.contains("changing="), said.starts_with("-UNKNOWN"), "{said}: {told}");
     let other = until("the major side has a leader", || {
         major.iter().copied().find(|at| status(&fleet, *at).contains("role=leader"))
     });
@@ -510,6 +513,27 @@
     assert_eq!(get(&mut fleet, "k"), "v");
 }
 
+/// Over slow links a change of members takes a while: it is told as done once no split can undo it.
+#[test]
+fn a_member_counts_once_its_change_does() {
+    let mut fleet = start(3, 3);
+    for (a, b) in [(0, 1), (0, 2), (1, 2)] {
+        fleet.pace(a, b, Pace::Delay(50));
+        fleet.pace(b, a, Pace::Delay(50));
+    }
+    let led = until("a leader", || leader(&mut fleet));
+    let anew = (led + 1) % 3;
+    fleet.act(&Step::StartEmpty(anew), |_, _| true);
+    let name = format!("c{anew}");
+    bring_in_anew(&mut fleet, &name);
+    let led = until("a leader", || leader(&mut fleet));
+    let others: Vec<usize> = (0..3).filter(|at| *at != led).collect();
+    fleet.split(&[led], &others);
+    // No change is under way that could be undone now.
+    let said = ask(fleet.doors[led]["store"], &["MEMBER", "REMOVE", &name]).expect("an answer");
+    assert!(!said.starts_with("-REFUSED"), "{said}");
+}
+
 /// Figures, not a verdict: `cargo test --release --test agreement writes -- --ignored --nocapture`.
 #[test]
 #[ignore]
--- a/tests/members/mod.rs
+++ b/tests/members/mod.rs
@@ -93,7 +93,7 @@
     until(&format!("{name} counts"), || {
         let leader = leader(fleet)?;
         let said = status(fleet, leader);
-        let waits = said.contains(&format!("waits={name} "));
+        let waits = said.contains(&format!("waits={name} ")) || said.contains("changing=");
         if !waits && said.lines().any(|line| line.starts_with(&counts) && line.contains(" voter ")) {
             return Some(());
         }
@@ -103,6 +103,16 @@
     });
 }
 
+/// The same for one that lost its disk: first its new self presents itself, as long as its old one counts.
+pub fn bring_in_anew(fleet: &mut Fleet, name: &str) {
+    let waits = format!("waits={name} ");
+    until(&format!("{name} presents itself"), || {
+        let leader = leader(fleet)?;
+        status(fleet, leader).contains(&waits).then_some(())
+    });
+    bring_in(fleet, name);
+}
+
 /// Says a change until it is done, as one session.
 pub fn set(fleet: &mut Fleet, session: &str, key: &str, value: &str) -> u64 {
     until(&format!("{key} is set"), || {
