Without a descriptor for a dial a call shares a connection that is up

With one call out on an engine's connection and no descriptor left, a second call was told that there is no room, tried again and waited, though the connection had places; the test got its call only after the first had been answered. Ruled out: the module; it was told `Full`, and did as it should. At fault: Resp::line_for shares where the daemon's own count says that it is full, but not where the system says so first. Change: a dial that fails for want of a descriptor, port or memory falls back on the connection with least to do.

--- a/src/link/resp/mod.rs
+++ b/src/link/resp/mod.rs
@@ -296,7 +296,12 @@
             Some((load, token)) if load == (false, 0) || full => Ok(token),
             // That there is no place for it here says nothing of whether the engine can be reached.
             None if full => Err(Ending::Full),
-            _ => self.dial(now, &call.engine),
+            None => self.dial(now, &call.engine),
+            Some((_, token)) => match self.dial(now, &call.engine) {
+                // Without a descriptor for one of its own it shares one.
+                Err(Ending::Full) => Ok(token),
+                dialled => dialled,
+            },
         }
     }
 
--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -3,7 +3,7 @@
 mod daemon;
 
 use daemon::{config, names, Daemon, Named, PATIENCE};
-use rustix::process::{prlimit, Pid, Resource, Rlimit};
+use rustix::process::{getrlimit, prlimit, Pid, Resource, Rlimit};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
@@ -44,6 +44,60 @@
     drop(crowd);
 }
 
+/// Sends a load of that id.
+fn ask(client: &mut TcpStream, id: u64) {
+    let head = format!("POST /invoke/load HTTP/1.1\r\nX-Job-Id: {id:016}\r\nX-Allow-Ms: 9000");
+    client.write_all(format!("{head}\r\nContent-Length: 8\r\n\r\nINSERT 1").as_bytes()).expect("sent");
+}
+
+/// The status line and headers that a client gets.
+fn told(client: &mut TcpStream) -> String {
+    let mut got = [0; 256];
+    let count = client.read(&mut got).expect("answered");
+    String::from_utf8_lossy(&got[..count]).into_owned()
+}
+
+/// Reads a load on an engine's connection and answers it.
+fn serve(line: &mut TcpStream, id: u64) {
+    let mut got = String::new();
+    while !got.ends_with("INSERT 1\r\n") {
+        let mut bytes = [0; 256];
+        let count = line.read(&mut bytes).expect("a call");
+        assert!(count > 0, "ended after {got}");
+        got.push_str(&String::from_utf8_lossy(&bytes[..count]));
+    }
+    assert!(got.contains(&format!("{id:016}")), "{got}");
+    let answer = format!("*4\r\n$16\r\n{id:016}\r\n$4\r\ndata\r\n$7\r\ntotal=1\r\n$0\r\n\r\n");
+    line.write_all(answer.as_bytes()).expect("sent");
+}
+
+#[test]
+fn without_a_descriptor_for_a_dial_a_call_shares_a_connection_or_is_refused_at_once() {
+    let (engine, names) = (Named::new("e1"), names());
+    let config = config(&[("e1", engine.address())], names.local_addr().expect("bound"));
+    let daemon = Daemon::start(&config, &[], None);
+    let (mut a, mut b) = (connected(&daemon), connected(&daemon));
+    assert!(answers(&mut a) && answers(&mut b));
+    let pid = Pid::from_raw(daemon.child.id() as i32);
+    let maximum = getrlimit(Resource::Nofile).maximum;
+    let limit = |current| prlimit(pid, Resource::Nofile, Rlimit { current, maximum });
+    let usual = limit(Some(daemon.first_free())).expect("lowered").current;
+    ask(&mut a, 1);
+    let said = told(&mut a);
+    assert!(said.starts_with("HTTP/1.1 503") && said.contains("X-Wait-Ms: "), "{said}");
+    limit(usual).expect("raised");
+    // It says nothing of the engine.
+    ask(&mut a, 2);
+    let mut line = engine.next();
+    line.set_read_timeout(Some(PATIENCE)).expect("set");
+    limit(Some(daemon.first_free())).expect("lowered");
+    ask(&mut b, 3);
+    serve(&mut line, 2);
+    assert!(told(&mut a).starts_with("HTTP/1.1 200"));
+    serve(&mut line, 3);
+    assert!(told(&mut b).starts_with("HTTP/1.1 200"));
+}
+
 #[test]
 fn a_client_that_rests_makes_room_where_the_system_has_no_descriptor() {
     let (engine, names) = (Named::new("e1"), names());
