--- a/tests/daemon/mod.rs
+++ b/tests/daemon/mod.rs
@@ -33,6 +33,14 @@
         Self { id: id.into(), listener: TcpListener::bind("127.0.0.1:0").expect("a port") }
     }
 
+    /// One whose connections take small pieces and hold little: long calls to it stand partly unwritten.
+    pub fn narrow(id: &str) -> Self {
+        let named = Self::new(id);
+        let socket = socket2::SockRef::from(&named.listener);
+        socket.set_tcp_mss(536).and_then(|()| socket.set_recv_buffer_size(1)).expect("set");
+        named
+    }
+
     pub fn address(&self) -> SocketAddr {
         self.listener.local_addr().expect("bound")
     }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -2,7 +2,8 @@
 //!
 //! - `start e1 e2`: the program starts and knows these engines; `mysql`, `consul` and
 //!   `store` switch these on, `memory`, `files` or `nothing` has it keep bodies over 10 bytes there, `inherits` has it inherit its listening socket,
-//!   `patient` has calls wait for a connection for as long as it takes, `brief` makes its window for repeats 0.5 s, `traced` has it tell of each step of a request; `again`: the program starts once more,
+//!   `patient` has calls wait for a connection for as long as it takes, `brief` makes its window for repeats 0.5 s, `traced` has it tell of each step of a request,
+//!   `narrow` has connections to engines hold some KB of what is not read, `few` leaves it one connection to engines; `again`: the program starts once more,
 //!   with what it has left behind; `beside`: the same beside the first, which is `old` from then on, as in
 //!   `old signal TERM`;
 //! - `a > bytes`, `a < bytes`: client `a` of the platform's front sends, or receives exactly that;
@@ -194,7 +195,8 @@
             ("start", _) => {
                 let parts: Vec<&str> = rest.split(' ').collect();
                 let listens = parts.iter().filter(|part| part.starts_with(['e', 'p']) || **part == "consul");
-                self.engines = listens.map(|id| (id.to_string(), Named::new(id))).collect();
+                let named = if parts.contains(&"narrow") { Named::narrow } else { Named::new };
+                self.engines = listens.map(|id| (id.to_string(), named(id))).collect();
                 self.ports = self.engines.iter().map(|(id, e)| (id.clone(), e.address().port())).collect();
                 if parts.contains(&"patient") {
                     self.settings.push((r#""connectTimeout":0.25"#, r#""connectTimeout":60"#));
@@ -202,6 +204,9 @@
                 if parts.contains(&"brief") {
                     self.settings.push((r#""memorySpan":20"#, r#""memorySpan":0.5"#));
                 }
+                if parts.contains(&"few") {
+                    self.settings.push((r#""sockets":256"#, r#""sockets":60"#));
+                }
                 let known = self.known();
                 let mut files = Vec::new();
                 if parts.contains(&"traced") {
