Queries that cannot be called off are granted the memory that nearly all need

Ruled out: estimates (`ask` takes 1.00 times its work in the median), loads and memory short at the engines (56 waits). At fault: learn_memory granted the middling need wherever answers tell it. That suits queries that a spill moves; others pay for it with twice the time. Change: the middling need only where a spill is cheap (repeatable, may be called off, tries to spare); else 95 in 100 are granted what they need, as where only spills tell. The new test of tests/memory.rs fails without the change (202 for 270).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,7 +35,7 @@
 const FAST_QUANTILE: f64 = 0.25; // of delay per unit that counts as unhindered where no cost is told
 const TOLD_QUANTILE: f64 = 0.5; // the same where answers tell their cost: the middle
 const WORK_TIMES: f64 = 2.0; // most work told over what the engine's cores do: some are faster than nominal
-const GRANT_QUANTILE: f64 = 0.95; // of queries that get all the memory they need where only spills tell
+const GRANT_QUANTILE: f64 = 0.95; // of queries that get all the memory they need where a spill costs
 const NOTED_TIMES: f64 = 2.0; // expected delays still to go, by its notes, at which an attempt is called off
 const MEAN_STEP: f64 = 0.02; // weight of a sample in means by class: some 50 queries
 const HEALTH_STEP: f64 = 0.12; // least weight of a sample in an engine's health: some 8 outcomes
@@ -881,14 +881,15 @@
         classes.map(|(at, _)| self.usual_sigma(at) * self.classes[at].slowness()).fold(0.0, f64::max)
     }
 
-    /// Learns what estimates of memory stand for: the middling need where told, else so much that few spill.
+    /// Learns what estimates of memory stand for: so much that few spill, or half where a spill is cheap.
     fn learn_memory(&mut self, number: u64, need: Option<f64>) {
         let request = &self.requests[&number];
         let Some(told) = request.query.memory.filter(|_| request.granted.is_some()) else { return };
-        let class = &mut self.classes[request.query.class];
-        let quantile = if need.is_some() { 0.5 } else { GRANT_QUANTILE };
-        let short = need.or(request.needs).is_some_and(|need| need > told * class.grant.value.exp());
-        class.grant.add(short, quantile);
+        let (s, at) = (&self.settings, request.query.class);
+        let cheap = s.may_cancel && s.max_attempts > 2 && s.classes[at].effect == Effect::Repeatable;
+        let grant = &mut self.classes[at].grant;
+        let short = need.or(request.needs).is_some_and(|need| need > told * grant.value.exp());
+        grant.add(short, if cheap && need.is_some() { 0.5 } else { GRANT_QUANTILE });
     }
 
     // ---- Health ----
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -27,27 +27,42 @@
     w.event(Event::Noted { id: id.into(), attempt, note: Note::Spills(missing) })
 }
 
-/// Grant for an estimate of 100 MB after `count` queries that needed `need` in truth.
+/// Grant for an estimate of 100 MB of a query that needs `need` in truth, and is served.
+fn serve(w: &mut World, n: usize, need: f64, told: bool) -> f64 {
+    let id = format!("r{n}");
+    let first = granted(&ask(w, &id, 100.0));
+    w.now += 0.005;
+    let short = (need - first).max(0.0);
+    let again = if short > 0.0 { spills(w, &id, 0, short).len() as u32 } else { 0 };
+    if again > 0 {
+        w.end(&id, 0, Outcome::Cancelled);
+    }
+    let memory = Some(need).filter(|_| told);
+    let (id, outcome, work) = (id.as_str().into(), Outcome::Ok, None);
+    let ended = Ended { id, attempt: again, outcome, finished: true, work, memory, report: None };
+    w.event(Event::Ended(ended));
+    w.wait(0.2);
+    first
+}
+
+/// The same after `count` queries that needed `need`.
 fn learned(told: bool, need: f64, count: usize) -> f64 {
     let mut w = World::new(granting(told), &["e1", "e2"]);
     for n in 0..count {
-        let id = format!("r{n}");
-        let first = granted(&ask(&mut w, &id, 100.0));
-        w.now += 0.005;
-        let short = (need - first).max(0.0);
-        let again = if short > 0.0 { spills(&mut w, &id, 0, short).len() as u32 } else { 0 };
-        if again > 0 {
-            w.end(&id, 0, Outcome::Cancelled);
-        }
-        let memory = Some(need).filter(|_| told);
-        let (id, outcome, work) = (id.as_str().into(), Outcome::Ok, None);
-        let ended = Ended { id, attempt: again, outcome, finished: true, work, memory, report: None };
-        w.event(Event::Ended(ended));
-        w.wait(0.2);
+        serve(&mut w, n, need, told);
     }
     granted(&ask(&mut w, "last", 100.0))
 }
 
+/// The middling grant for an estimate of 100 MB of queries that need 100 to 300 MB, all alike often.
+fn usual_grant(s: Settings) -> f64 {
+    let mut w = World::new(s, &["e1", "e2"]);
+    let need = |n: usize| 100.0 + 2.0 * (n * 61 % 100) as f64;
+    let mut late = (0..600).map(|n| serve(&mut w, n, need(n), true)).skip(300).collect::<Vec<_>>();
+    late.sort_by(f64::total_cmp);
+    late[late.len() / 2]
+}
+
 #[test]
 fn grants_follow_the_need_where_answers_tell_it() {
     let (low, high) = (learned(true, 50.0, 200), learned(true, 200.0, 200));
@@ -55,6 +70,19 @@
     assert!((180.0..220.0).contains(&high), "{high} for a need of 200");
 }
 
+#[test]
+fn one_that_spills_and_cannot_be_called_off_is_granted_what_nearly_all_need() {
+    let usual = usual_grant(granting(true));
+    assert!((170.0..230.0).contains(&usual), "{usual}: half need 200 or less");
+    let keyed = Settings { classes: vec![class("load", Effect::Keyed)], ..granting(true) };
+    let few = Settings { max_attempts: 2, ..granting(true) };
+    let stays = Settings { may_cancel: false, ..granting(true) };
+    for s in [keyed, few, stays] {
+        let usual = usual_grant(s);
+        assert!((270.0..360.0).contains(&usual), "{usual}: 95 in 100 need 290 or less");
+    }
+}
+
 #[test]
 fn grants_rise_by_spills_alone_where_nothing_else_tells() {
     let high = learned(false, 300.0, 100);
