--- a/src/membership/consul/mod.rs
+++ b/src/membership/consul/mod.rs
@@ -146,6 +146,9 @@
         }
         if let Watch::Waits(token, _) = self.watch {
             self.table.close(now, token, &mut self.shared);
+            // Its end is our doing: it says nothing of the entry in the catalogue.
+            self.shared.replies.retain(|(of, _)| *of != token);
+            self.bad += 1;
         }
         if !self.registered {
             self.register(now);
