Two further crossings are forced: an id that was dropped, a directory that has moved

Change: the exchanges late_after_drop and directory_moved; `former` is the directory before it moved.

--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -17,7 +17,7 @@
 //! - `e1 gone`: nobody listens there any more; `e1 deaf`: connections to it do not come up; `e1 hears`: they do again, those
 //!   that have waited within a second; `e1 up`: the engine's next connection comes up, and stays;
 //! - `crowd 200`: so many clients ask for the health and stay; `moves`: the directory has another address, and the
-//!   configuration names it; `spoils`: the configuration is none any more;
+//!   configuration names it; `former` is the one before; `spoils`: the configuration is none any more;
 //! - `stalls maintenance.json`: whoever opens that file waits;
 //! - `signal USR1`, `line text`, `exit 0`: a signal; a line on standard output; the program's end.
 //!
@@ -65,6 +65,8 @@
     ports: HashMap<String, u16>,
     streams: HashMap<String, TcpStream>,
     names: std::net::UdpSocket,
+    /// Where the directory was before it moved.
+    former: Option<std::net::UdpSocket>,
     crowd: Vec<TcpStream>,
     /// Changes to the settings.
     settings: Vec<(&'static str, &'static str)>,
@@ -274,7 +276,7 @@
                 }
             }
             ("moves", _) => {
-                self.names = names();
+                self.former = Some(std::mem::replace(&mut self.names, names()));
                 self.daemon.as_ref().expect("started").configure(&self.config());
             }
             ("stalls", _) => self.daemon.as_ref().expect("started").stalls(rest),
@@ -293,9 +295,10 @@
                 self.ports.insert("q".into(), u16::from_be_bytes([query[0], query[1]]));
                 self.asker = Some(from);
             }
-            ("names", ">") => {
+            ("names" | "former", ">") => {
                 let answer = self.bytes(text);
-                self.names.send_to(&answer, self.asker.expect("asked")).expect("sent");
+                let from = if first == "names" { Some(&self.names) } else { self.former.as_ref() };
+                from.expect("moved").send_to(&answer, self.asker.expect("asked")).expect("sent");
             }
             (who, ">") => {
                 let bytes = self.bytes(text);
@@ -345,6 +348,7 @@
         ports: HashMap::new(),
         streams: HashMap::new(),
         names: names(),
+        former: None,
         crowd: Vec::new(),
         settings: Vec::new(),
         fillers: HashMap::new(),
