A client whose body has no room is heard to end, also with bytes unread

Seen: the row left open in docs/races.md. A body is passed on to an engine that does not read, so no more is taken from its client; the client closes, and the request stays open until its deadline (60 s in the exchange), its engine held. Ruled out: a reset, which was told all along; attempts for such a client, which the look at each send kept from beginning. At fault: flags() in the poller asked for the end of the peer only together with input. Change: the end is always asked for. Table closes a connection that is not read from as its peer's end shows; `Ready` tells an end apart from input, so that input of before the pause does not count as one. Doors for large bodies are off in `run`; elsewhere nothing is ever paused.

--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -180,7 +180,11 @@
 
     /// Reads what has come on a connection, before it might be closed.
     fn hear(&mut self, now: Time, token: Token) {
-        self.table.ready(now, Ready { token, readable: true, writable: false }, &mut self.shared);
+        self.table.ready(
+            now,
+            Ready { token, readable: true, writable: false, ended: false },
+            &mut self.shared,
+        );
     }
 
     /// Whether there is a place. Connections for which there is none wait in the kernel's line.
--- a/src/net/poller.rs
+++ b/src/net/poller.rs
@@ -40,6 +40,8 @@
     pub token: Token,
     pub readable: bool,
     pub writable: bool,
+    /// The peer has ended its side, or is gone; bytes of it may stand unread.
+    pub ended: bool,
 }
 
 /// Level-triggered epoll.
@@ -47,9 +49,10 @@
     epoll: OwnedFd,
 }
 
+/// The peer's end is asked for also where nothing is read.
 fn flags(read: bool, write: bool) -> EventFlags {
-    let mut flags = EventFlags::empty();
-    flags.set(EventFlags::IN | EventFlags::RDHUP, read);
+    let mut flags = EventFlags::RDHUP;
+    flags.set(EventFlags::IN, read);
     flags.set(EventFlags::OUT, write);
     flags
 }
@@ -88,11 +91,13 @@
         }
         ready.extend(events.iter().map(|event: &epoll::Event| {
             let (flags, data) = (event.flags, event.data);
-            let ended = flags.intersects(EventFlags::ERR | EventFlags::HUP);
+            let broken = flags.intersects(EventFlags::ERR | EventFlags::HUP);
+            let ended = broken || flags.contains(EventFlags::RDHUP);
             Ready {
                 token: Token::unpack(data.u64()),
-                readable: ended || flags.intersects(EventFlags::IN | EventFlags::RDHUP),
-                writable: ended || flags.contains(EventFlags::OUT),
+                readable: ended || flags.contains(EventFlags::IN),
+                writable: broken || flags.contains(EventFlags::OUT),
+                ended,
             }
         }));
         Ok(())
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -151,11 +151,11 @@
             return self.close(now, token, shared);
         }
         // A connection with bytes unwritten and a full input is read on: a close must be seen. What is read
-        // is bounded by the connection's own limits. Of one that is paused a reset is seen all the same.
+        // is bounded by the connection's own limits. Of one that is paused the end is seen all the same.
         let channel = open.connection.channel();
         let writes = channel.connecting || channel.queued() > 0;
         let more = open.connection.has_more() && !open.finishing;
-        let interest = (open.finishing || !open.connection.is_paused(), writes || more);
+        let interest = (open.is_read(), writes || more);
         if interest != open.interest {
             open.interest = interest;
             let poller = self.poller.clone();
@@ -192,7 +192,12 @@
             }
         }
         // What the peer sent counts before what becomes of a write: one that has answered and gone takes no bytes.
-        let mut flow = if ready.readable { self.read(now, shared) } else { Flow::Open };
+        let mut flow = match self.is_read() {
+            true if ready.readable => self.read(now, shared),
+            // What it still had to say has no room, and nobody is there for an answer.
+            false if ready.ended => Flow::Close,
+            _ => Flow::Open,
+        };
         if ready.writable && flow == Flow::Open {
             flow = self.write(now, shared);
             if flow == Flow::Open {
@@ -202,6 +207,10 @@
         flow
     }
 
+    fn is_read(&self) -> bool {
+        self.finishing || !self.connection.is_paused()
+    }
+
     /// Reads once.
     fn read(&mut self, now: Time, shared: &mut C::Shared) -> Flow {
         let channel = self.connection.channel();
