The platform's front reads X-Item and X-Team: order kept, shares counted

Ruled out: the module, which holds a key's requests back; it was never told a key. At fault: Core::ask handed on `key: None, tenant: None`; the front read neither header. Change: both are read once for all attempts. A tenant that nobody knows, an empty or overlong key (over 128 bytes), and a header that stands twice where one may (also X-Job-Id, X-Unique and the figures) get 400. A call of no tenant is served. Names and order of tenants cannot change in service, as with classes. New exchanges `ordered` (each kind of end lets the next of its key go, none overtakes) and `teams`; both fail on the program before.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -54,6 +54,10 @@
     pub id: RequestId,
     /// Position of its class in the settings.
     pub class: usize,
+    /// Position of its tenant in the settings, where it belongs to one.
+    pub tenant: Option<usize>,
+    /// Requests of a class that keeps order run one at a time where this is the same.
+    pub order: Option<Arc<str>>,
     /// When the client gives up.
     pub deadline: Time,
     /// Estimated work (ms of one thread).
@@ -202,6 +206,11 @@
     settings.classes.iter().map(|class| (class.name.clone(), class.effect)).collect()
 }
 
+/// The tenants as requests hang on them.
+fn names_of_tenants(settings: &Settings) -> Vec<String> {
+    settings.tenants.iter().map(|tenant| tenant.name.clone()).collect()
+}
+
 /// A keyed request that came without its key must not be repeated: it is of a twin class that says so. So is any that
 /// cannot be sent again. By class, the one for requests without a key, and the one for bodies that are not kept.
 fn with_twins(mut settings: Settings, uploads: bool) -> (Settings, Vec<usize>, Vec<usize>) {
@@ -227,6 +236,8 @@
     gateway: Gateway,
     /// What of the classes cannot change in service.
     classes: Vec<(String, Effect)>,
+    /// The same of the tenants.
+    tenants: Vec<String>,
     uploads: bool,
     /// By class, the one for its requests without a key.
     keyless: Vec<usize>,
@@ -247,10 +258,11 @@
     /// `uploads` says that bodies may be passed on without being kept.
     pub fn new(settings: Settings, seed: u64, uploads: bool, trace: Trace) -> Self {
         let answers = vec![Answers::default(); settings.classes.len()];
-        let classes = shape(&settings);
+        let (classes, tenants) = (shape(&settings), names_of_tenants(&settings));
         let (settings, keyless, once) = with_twins(settings, uploads);
         Self {
             classes,
+            tenants,
             uploads,
             keyless,
             once,
@@ -288,12 +300,17 @@
 
     /// A check whether settings can count in service; it fails with key and reason.
     pub fn fitting(&self) -> impl Fn(&Settings) -> Result<(), String> + 'static {
-        let classes = self.classes.clone();
+        let (classes, tenants) = (self.classes.clone(), self.tenants.clone());
         move |settings| {
-            if shape(settings) == classes {
-                return Ok(());
+            if shape(settings) != classes {
+                return Err(
+                    "classes: names, order and effect cannot change in service, only at a restart".into()
+                );
+            }
+            if names_of_tenants(settings) != tenants {
+                return Err("tenants: names and order cannot change in service, only at a restart".into());
             }
-            Err("classes: names, order and effect cannot change in service, only at a restart".into())
+            Ok(())
         }
     }
 
@@ -363,8 +380,8 @@
         let query = Query {
             id: ask.id,
             class,
-            tenant: None,
-            key: None,
+            tenant: ask.tenant,
+            key: ask.order,
             left: ask.deadline - now,
             work: ask.estimate,
             memory: ask.memory,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -6,7 +6,7 @@
 use crate::console::{Command, Console};
 use crate::core::{Core, Door, FrontEvent, Link, Trace};
 use crate::front::mysql::MysqlFront;
-use crate::front::platform::Platform;
+use crate::front::platform::{Names, Platform};
 use crate::limits::Limits;
 use crate::link::mysql::MysqlLink;
 use crate::link::resp::Resp;
@@ -168,8 +168,9 @@
         let socket = config.inherited.map_or_else(|| TcpListener::bind(listen), inherited);
         let platform = socket
             .and_then(|socket| {
-                let (classes, spool) = (classes.clone(), spool.clone());
-                Platform::open(PLATFORM, 0, socket, classes, spool, poller.clone(), limits.clone())
+                let tenants = config.settings.tenants.iter().map(|t| t.name.as_str().into()).collect();
+                let (names, spool) = (Names { classes: classes.clone(), tenants }, spool.clone());
+                Platform::open(PLATFORM, 0, socket, names, spool, poller.clone(), limits.clone())
             })
             .map_err(|e| format!("listen {listen}: {e}"))?;
         let address = platform.address().map_err(|e| format!("listen {listen}: {e}"))?;
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -18,6 +18,15 @@
     pub fn field(&self, name: &str) -> Option<&str> {
         self.fields.iter().find(|f| f.0.eq_ignore_ascii_case(name)).map(|f| f.1.as_str())
     }
+
+    /// The same for one that may be told once at most: where two readers could take two values, none counts.
+    pub fn single(&self, name: &str) -> Result<Option<&str>, Bad> {
+        let mut told = self.fields.iter().filter(|f| f.0.eq_ignore_ascii_case(name)).map(|f| f.1.as_str());
+        match (told.next(), told.next()) {
+            (_, Some(_)) => Err(Bad(400)),
+            (value, None) => Ok(value),
+        }
+    }
 }
 
 /// Why a call cannot be read: the status that says so.
--- a/src/front/mysql/mod.rs
+++ b/src/front/mysql/mod.rs
@@ -555,6 +555,8 @@
             door: shared.state.door,
             id: format!("mysql-{:x}", shared.requests).into(),
             class: statement.class,
+            tenant: None,
+            order: None,
             deadline: Time::INFINITY,
             estimate: statement.estimate,
             memory: statement.memory,
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -20,10 +20,17 @@
 use std::sync::Arc;
 use upload::Upload;
 
+/// What calls may name, by position in the settings.
+pub struct Names {
+    pub classes: Vec<Arc<str>>,
+    /// Tenants; none where the deployment has none.
+    pub tenants: Vec<Arc<str>>,
+}
+
 /// What all client connections have in common.
 pub struct Shared {
     state: State,
-    classes: Vec<Arc<str>>,
+    names: Names,
     /// Keeps large bodies, where the deployment has that.
     spool: Option<bodies::Shared>,
     /// The connection that each body comes in by.
@@ -58,13 +65,13 @@
         part: u8,
         door: usize,
         socket: TcpListener,
-        classes: Vec<Arc<str>>,
+        names: Names,
         spool: Option<bodies::Shared>,
         poller: Rc<Poller>,
         limits: Rc<Limits>,
     ) -> io::Result<Self> {
         let (state, uploads) = (State::new(door, limits), HashMap::new());
-        Self::new(part, socket, Shared { state, classes, spool, uploads }, poller)
+        Self::new(part, socket, Shared { state, names, spool, uploads }, poller)
     }
 }
 
@@ -294,25 +301,42 @@
     estimate: Option<f64>,
     memory: Option<f64>,
     key: Option<Arc<str>>,
+    tenant: Option<usize>,
+    /// Requests of a class that keeps order run one at a time where this is the same.
+    order: Option<Arc<str>>,
 }
 
+/// The longest name that a call may give to a key of its order (bytes).
+const ORDER: usize = 128;
+
 /// Reads the head of a call for that class.
 fn told(call: &Call, class: &str, shared: &Shared) -> Result<Told, Bad> {
     if call.method != "POST" {
         return Err(Bad(405));
     }
-    let class = shared.classes.iter().position(|c| **c == *class).ok_or(Bad(404))?;
-    let id = call.field("X-Job-Id").ok_or(Bad(400))?;
+    let class = shared.names.classes.iter().position(|c| **c == *class).ok_or(Bad(404))?;
+    let id = call.single("X-Job-Id")?.ok_or(Bad(400))?;
     if id.len() != 16 || !id.bytes().all(|b| b.is_ascii_hexdigit()) {
         return Err(Bad(400));
     }
     let allow = number(call, "X-Allow-Ms")?.ok_or(Bad(400))?;
     // A key goes on in a list of fields, where these would end it.
-    let key = call.field("X-Unique");
+    let key = call.single("X-Unique")?;
     if key.is_some_and(|k| k.is_empty() || k.bytes().any(|b| b == b',' || b == b'=' || !b.is_ascii_graphic()))
     {
         return Err(Bad(400));
     }
+    // A call of no tenant is served; one of a tenant that nobody knows is not.
+    let tenant = match call.single("X-Team")? {
+        Some(team) if !shared.names.tenants.is_empty() => {
+            Some(shared.names.tenants.iter().position(|t| **t == *team).ok_or(Bad(400))?)
+        }
+        _ => None,
+    };
+    let order = call.single("X-Item")?;
+    if order.is_some_and(|o| o.is_empty() || o.len() > ORDER || !o.bytes().all(|b| b.is_ascii_graphic())) {
+        return Err(Bad(400));
+    }
     let id: RequestId = id.into();
     if shared.state.is_open(&id) {
         return Err(Bad(400));
@@ -324,6 +348,8 @@
         estimate: number(call, "X-Size-Ms")?.filter(|ms| *ms > 0.0),
         memory: number(call, "X-Est-Mb")?.filter(|mb| *mb > 0.0),
         key: key.map(Arc::from),
+        tenant,
+        order: order.map(Arc::from),
     })
 }
 
@@ -334,13 +360,15 @@
             door: shared.state.door,
             id: self.id.clone(),
             class: self.class,
+            tenant: self.tenant,
+            order: self.order.clone(),
             deadline: now + self.allow,
             estimate: self.estimate,
             memory: self.memory,
             tables: tables.unwrap_or(-1),
             uploading: false,
             work: Work {
-                class: shared.classes[self.class].clone(),
+                class: shared.names.classes[self.class].clone(),
                 key: self.key.clone(),
                 ..Work::default()
             },
@@ -350,7 +378,7 @@
 
 /// A field that holds a number, none of them negative.
 fn number(call: &Call, name: &str) -> Result<Option<f64>, Bad> {
-    let Some(text) = call.field(name) else { return Ok(None) };
+    let Some(text) = call.single(name)? else { return Ok(None) };
     let number = text.parse::<f64>().map_err(|_| Bad(400))?;
     if (0.0..1e9).contains(&number) {
         Ok(Some(number))
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -3,7 +3,8 @@
 //! - `start e1 e2`: the program starts and knows these engines; `mysql`, `consul` and
 //!   `store` switch these on, `memory`, `files` or `nothing` has it keep bodies over 10 bytes there, `inherits` has it inherit its listening socket,
 //!   `patient` has calls wait for a connection for as long as it takes, `brief` makes its window for repeats 0.5 s, `traced` has it tell of each step of a request,
-//!   `narrow` has connections to engines hold some KB of what is not read, `few` leaves it one connection to engines; `again`: the program starts once more,
+//!   `narrow` has connections to engines hold some KB of what is not read, `few` leaves it one connection to engines,
+//!   `ordered` has it send loads of one key one after another, `teams` has two tenants: north, and south with a share of nothing; `again`: the program starts once more,
 //!   with what it has left behind; `beside`: the same beside the first, which is `old` from then on, as in
 //!   `old signal TERM`;
 //! - `a > bytes`, `a < bytes`: client `a` of the platform's front sends, or receives exactly that;
@@ -206,6 +207,13 @@
                 if parts.contains(&"brief") {
                     self.settings.push((r#""memorySpan":20"#, r#""memorySpan":0.5"#));
                 }
+                if parts.contains(&"ordered") {
+                    self.settings.push((r#""effect":"by_key""#, r#""effect":"by_key","inTurn":true"#));
+                }
+                if parts.contains(&"teams") {
+                    let teams = r#""tenants":[{"name":"north","quotaPerS":50},{"name":"south","quotaPerS":0}],"zones""#;
+                    self.settings.push((r#""zones""#, teams));
+                }
                 if parts.contains(&"few") {
                     self.settings.push((r#""sockets":256"#, r#""sockets":60"#));
                 }
