Without second copies no request goes again to an engine where it may run on

Ruled out: the core; one end for each send, and the DROP is written before the next call. At fault: the two go by different connections (an id is barred where it was dropped, or a late answer would be taken for the new one's), and nothing orders these: the engine may read the call before the DROP. Change: may_send lets none go where an attempt of it may have run, where second copies are not allowed; on_note calls none off there that has nowhere else to go. A request that never ran (full, unsent, refused) may go there again. Two new tests in tests/rules.rs fail without the change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -480,9 +480,8 @@
         if allowed.iter().any(|e| fresh(e) && !e.ejected) {
             allowed.retain(|e| fresh(e));
         }
-        // Most of them bad together: the cause is shared, and a gateway that ejected them all would serve
-        // nothing; the bounds alone decide. Hurts if most engines really are dead, for as long as that lasts.
-        // Those that drain or are left out say nothing of that.
+        // Most of them bad together, those that drain aside: the cause is shared, the bounds alone decide,
+        // or nothing would be served. Hurts if most engines really are dead, for as long as that lasts.
         let live = || self.engines.values().filter(|e| e.live());
         let sound = live().filter(|e| !e.ejected).count();
         let shared = 2 * sound < live().count() || allowed.iter().all(|e| e.ejected);
@@ -578,7 +577,8 @@
         let class = &self.settings.classes[request.query.class];
         let owed = !request.finished && !request.streaming && !request.spent && now < request.deadline;
         let tries = (request.attempts.len() as u32) < self.settings.max_attempts;
-        let apart = !request.out() || self.settings.may_copy;
+        let there = |a: &Attempt| a.fate == Fate::MayHaveRun && a.engine == engine.entry.id; // it may run on
+        let apart = self.settings.may_copy || !request.out() && !request.attempts.iter().any(there);
         let at_home = |a: &Attempt| class.group == Group::Zone || a.home.1 == engine.entry.cell;
         let near = |a: &Attempt| class.group == Group::All || a.home.0 == engine.entry.zone && at_home(a);
         let harmless =
@@ -869,7 +869,7 @@
             }
             _ => false,
         };
-        if again && worth {
+        if again && worth && (elsewhere || self.settings.may_copy) {
             tried.moved = moves;
             out.push(Action::Cancel { id: id.clone(), attempt });
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -118,6 +118,36 @@
     assert_eq!(cold_work(1.0, Scope::Restored), 0.0, "a restarted gateway counts the window as spent");
 }
 
+/// What is given up at an engine may run on there until that engine hears of it, on another connection than the next try.
+#[test]
+fn without_second_copies_none_goes_where_one_was_given_up() {
+    for outcome in [Outcome::Timeout, Outcome::Cancelled] {
+        for copies in [false, true] {
+            let allowed = Settings { may_copy: copies, ..settings(vec![class("q", Effect::Repeatable)]) };
+            let mut w = World::new(allowed, &["e1"]);
+            w.query("r", 0, 100.0);
+            assert_eq!(sent_to(&w.end("r", 0, outcome)).len(), usize::from(copies), "{outcome:?}");
+        }
+    }
+    // One that never ran there may go there again.
+    let mut w = World::new(settings(vec![class("q", Effect::Repeatable)]), &["e1"]);
+    w.query("r", 0, 100.0);
+    assert_eq!(sent_to(&w.end("r", 0, Outcome::Unsent)), ["e1"]);
+}
+
+#[test]
+fn without_second_copies_none_is_called_off_that_has_nowhere_else_to_go() {
+    for (engines, moves) in [(&["e1"][..], false), (&["e1", "e2"][..], true)] {
+        let mut s = settings(vec![class("q", Effect::Repeatable)]);
+        (s.grants, s.may_cancel) = (true, true);
+        let mut w = World::new(s, engines);
+        w.query_with(Query { memory: Some(100.0), ..ordered("r", "k") });
+        w.now += 0.005;
+        let spills = Event::Noted { id: "r".into(), attempt: 0, note: Note::Spills(500.0) };
+        assert_eq!(!w.event(spills).is_empty(), moves, "{engines:?}");
+    }
+}
+
 fn ordered(id: &str, key: &str) -> Query {
     let key = Some(key.into());
     Query { id: id.into(), key, left: 10.0, work: Some(50.0), tables: 1, ..Query::default() }
