Read again: a dial says itself that there is no place, header fields have one reader

Seen on reading the change whole. Sharing a connection without a descriptor stood beside sharing one where our own count is full, as two cases of one thing; both callers of `dial` asked `is_full` before it. Three places filtered header fields by name. Further attempts were scanned at each end of an attempt, for the sake of the void one. Change: Resp::dial answers Full for our count and for the system's, and line_for shares on either; Call::values is what field, single and length read by; the scan is made where a void end is taken; the test calls ask, serve and told (a load in place of a look-up, the same assertions). Behaviour as before.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -779,7 +779,6 @@
         if let Some(turn) = turn.filter(|_| may_run_on) {
             turn.rest_until = now + self.settings.order_settle + 2.0 * self.settings.tick;
         }
-        self.again.retain(|a| ended.outcome != Outcome::Moot || (a.1, a.2) != (number, ended.attempt));
         self.judge(now, number, &ended, delay);
         if ended.outcome == Outcome::Ok {
             self.done += self.requests[&number].cost / LATELY;
@@ -919,7 +918,8 @@
         engine.sent_since = 0.0; // without reports the backlog stands for them
         let ran = matches!(outcome, Outcome::Ok | Outcome::Timeout | Outcome::Cancelled);
         match outcome {
-            Outcome::Moot => return,
+            // It never went out: it spent nothing of the budget for further attempts.
+            Outcome::Moot => return self.again.retain(|a| (a.1, a.2) != (number, ended.attempt)),
             Outcome::Cancelled if request.attempts[ended.attempt as usize].moved => return,
             // How long it took was its client's doing.
             Outcome::Ok | Outcome::Timeout | Outcome::Cancelled if request.query.uploading => return,
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -14,14 +14,19 @@
 }
 
 impl Call {
+    /// The values of a header field, in the order told.
+    fn values<'a, 'n>(&'a self, name: &'n str) -> impl Iterator<Item = &'a str> + use<'a, 'n> {
+        self.fields.iter().filter(move |f| f.0.eq_ignore_ascii_case(name)).map(|f| f.1.as_str())
+    }
+
     /// The value of a header field, if it is there.
     pub fn field(&self, name: &str) -> Option<&str> {
-        self.fields.iter().find(|f| f.0.eq_ignore_ascii_case(name)).map(|f| f.1.as_str())
+        self.values(name).next()
     }
 
     /// The same for one that may be told once at most: where two readers could take two values, none counts.
     pub fn single(&self, name: &str) -> Result<Option<&str>, Bad> {
-        let mut told = self.fields.iter().filter(|f| f.0.eq_ignore_ascii_case(name)).map(|f| f.1.as_str());
+        let mut told = self.values(name);
         match (told.next(), told.next()) {
             (_, Some(_)) => Err(Bad(400)),
             (value, None) => Ok(value),
@@ -111,7 +116,7 @@
 /// Content-Length: absent is none; several must agree, or two readers would see two different calls.
 fn length(call: &Call) -> Result<usize, Bad> {
     let mut length = None;
-    for (_, value) in call.fields.iter().filter(|f| f.0.eq_ignore_ascii_case("Content-Length")) {
+    for value in call.values("Content-Length") {
         if value.is_empty() || !value.bytes().all(|b| b.is_ascii_digit()) {
             return Err(Bad(400));
         }
--- a/src/link/resp/mod.rs
+++ b/src/link/resp/mod.rs
@@ -223,10 +223,8 @@
         let Some(token) = self.calls.get(&(id.clone(), attempt)).copied() else { return };
         let Some(line) = self.table.get(token).filter(|line| line.channel.connecting) else { return };
         let engine = line.engine.clone();
-        if !self.is_full(&engine) {
-            // One that cannot be begun is as one that never comes up.
-            let _ = self.dial(now, &engine);
-        }
+        // One that cannot be begun is as one that never comes up.
+        let _ = self.dial(now, &engine);
     }
 
     /// Whether there is no place for a further connection to an engine.
@@ -238,7 +236,12 @@
     /// Begins a connection to an engine that takes calls.
     fn dial(&mut self, now: Time, id: &EngineId) -> Result<Token, Ending> {
         let limits = self.shared.limits.clone();
+        let full = self.is_full(id);
         let engine = self.engines.get_mut(id).filter(|e| !e.is_closed(now)).ok_or(Ending::NotSent)?;
+        // That there is no place for it here says nothing of whether the engine can be reached.
+        if full {
+            return Err(Ending::Full);
+        }
         let address = engine.address;
         let channel = Channel::connect(address).map_err(|error| match error.kind() {
             io::ErrorKind::ConnectionRefused => Ending::Refused,
@@ -291,17 +294,13 @@
                 best = Some((load, *token));
             }
         }
-        let full = self.is_full(&call.engine);
-        match best {
-            Some((load, token)) if load == (false, 0) || full => Ok(token),
-            // That there is no place for it here says nothing of whether the engine can be reached.
-            None if full => Err(Ending::Full),
-            None => self.dial(now, &call.engine),
-            Some((_, token)) => match self.dial(now, &call.engine) {
-                // Without a descriptor for one of its own it shares one.
-                Err(Ending::Full) => Ok(token),
-                dialled => dialled,
-            },
+        if let Some((_, token)) = best.filter(|(load, _)| *load == (false, 0)) {
+            return Ok(token);
+        }
+        match (self.dial(now, &call.engine), best) {
+            // Without a place or a descriptor for one of its own it shares one.
+            (Err(Ending::Full), Some((_, token))) => Ok(token),
+            (dialled, _) => dialled,
         }
     }
 
--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -28,17 +28,13 @@
     // More than it has places for; none of them says anything.
     let crowd: Vec<TcpStream> = (0..300).map(|_| connected(&daemon)).collect();
     let mut client = connected(&daemon);
-    let call = "POST /invoke/lookup HTTP/1.1\r\nX-Job-Id: 0000000000000001\r\nX-Allow-Ms: 3000\r\nContent-Length: 8\r\n\r\nSELECT 1";
-    client.write_all(call.as_bytes()).expect("sent");
+    ask(&mut client, 1);
     let mut line = engine.next();
     line.set_read_timeout(Some(PATIENCE)).expect("set");
-    assert!(matches!(line.read(&mut [0; 256]), Ok(1..)), "the engine is sent the call");
     assert!(daemon.descriptors() <= 256, "{} descriptors", daemon.descriptors());
-    let answer = "*4\r\n$16\r\n0000000000000001\r\n$4\r\ndata\r\n$7\r\ntotal=1\r\n$0\r\n\r\n";
-    line.write_all(answer.as_bytes()).expect("sent");
-    let mut got = [0; 256];
-    let count = client.read(&mut got).expect("answered");
-    assert!(got[..count].starts_with(b"HTTP/1.1 200"), "{}", got[..count].escape_ascii());
+    serve(&mut line, 1);
+    let said = told(&mut client);
+    assert!(said.starts_with("HTTP/1.1 200"), "{said}");
     daemon.signal("TERM");
     assert_eq!(daemon.ended().code(), Some(0));
     drop(crowd);
