--- a/crates/lab/src/standin.rs
+++ b/crates/lab/src/standin.rs
@@ -313,7 +313,7 @@
             let mut buffer = [0; 512];
             while let Ok((length, from)) = socket.recv_from(&mut buffer) {
                 let (serial, list) = lock(&shared).clone();
-                if let Some(answer) = reply(&buffer[..length], serial, &list) {
+                if let Some(answer) = list_answer(&buffer[..length], serial, &list) {
                     let _ = socket.send_to(&answer, from); // it asks again
                 }
             }
@@ -341,7 +341,8 @@
 }
 
 /// The answer to a query of the list (RFC 1035, 2782); `None` to anything that is none.
-fn reply(query: &[u8], serial: u32, list: &[Told]) -> Option<Vec<u8>> {
+#[must_use]
+pub fn list_answer(query: &[u8], serial: u32, list: &[Told]) -> Option<Vec<u8>> {
     const SERVICE: &str = "_back._tcp.pool.lan";
     const SRV: u16 = 33;
     const A: u16 = 1;
