--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -13,9 +13,9 @@
 use crate::membership::bans::Bans;
 use crate::membership::consul::{self, Consul};
 use crate::membership::dns::Directory;
-use crate::membership::{known, Member, Members, Source};
+use crate::membership::{known, Changes, Member, Members, Source};
 use crate::mysql::{self, config::Mysql};
-use crate::net::{inherited, Clock, Part, Poller, Ready, Sleep, Time, Token};
+use crate::net::{inherited, Backoff, Clock, Part, Poller, Ready, Sleep, Time, Token};
 use crate::points;
 use crate::store::{self, Store};
 use dahliaspoke::interface::{EngineId, Lifecycle, Scope, Settings};
@@ -107,6 +107,10 @@
     stored_bans: BTreeSet<EngineId>,
     /// When to look whether another process has changed them.
     look_at: Time,
+    /// The list of engines is too old to be believed.
+    lapsed: bool,
+    /// A configuration that could not be read is read again.
+    reload: Option<Reload>,
     /// The operators' door, where the configuration has one.
     console: Option<Console>,
     /// The platform holds the clients' listening socket, and another process takes this one's place.
@@ -114,6 +118,15 @@
     life: Life,
 }
 
+/// A configuration that is to be read again.
+struct Reload {
+    at: Time,
+    pauses: Backoff,
+}
+
+/// Pauses (s) between tries to read it.
+const RELOAD_PAUSES: (Time, Time) = (0.05, 1.0);
+
 /// How far the program is: it serves, and shuts down gracefully after SIGTERM.
 #[derive(Clone, Copy, PartialEq)]
 enum Life {
@@ -176,12 +189,13 @@
         let address = platform.address().map_err(|e| format!("listen {listen}: {e}"))?;
         let source: Box<dyn Source> = match optional(consul::FILE)? {
             None => {
-                let directory = Directory::new(SOURCE, names, config.known, &poller, limits.clone());
+                let (poller, limits) = (poller.clone(), limits.clone());
+                let directory = Directory::new(SOURCE, now, names, config.known, config.seed, poller, limits);
                 Box::new(directory.map_err(|e| format!("directory {names}: {e}"))?)
             }
             Some(file) => {
                 let (own, held) = ((config.name.clone(), address), config.known.1);
-                Box::new(Consul::new(SOURCE, file, own, held, poller.clone(), limits.clone()))
+                Box::new(Consul::new(SOURCE, now, file, own, held, poller.clone(), limits.clone()))
             }
         };
         let mysql = match Mysql::from_file(&config.settings)? {
@@ -225,6 +239,8 @@
             bans: Bans::open(),
             stored_bans: BTreeSet::new(),
             look_at: now,
+            lapsed: false,
+            reload: None,
             resp: Resp::new(RESP, spool.clone(), poller.clone(), limits.clone()),
             poller,
             limits,
@@ -243,7 +259,7 @@
         // A process that this one takes over from kept to its part of what cold engines bear, and so does this
         // one from here on. After a crash nothing is known of that.
         let scope = if daemon.in_pairs { Scope::Complete } else { Scope::Restored };
-        daemon.members(now, scope, members);
+        daemon.members(now, scope, Changes { told: now, members });
         tracing::info!("{} listens on {address}", config.name);
         Ok(daemon)
     }
@@ -335,7 +351,9 @@
     /// When there is next something to do that no descriptor tells of.
     fn next(&mut self) -> Time {
         let parts = self.parts().filter_map(|(_, part)| part.next()).fold(f64::INFINITY, f64::min);
-        let own = [self.core.next(), self.life.next(), Some(self.look_at)];
+        let lease = Some(self.source.valid_until()).filter(|_| !self.lapsed);
+        let reload = self.reload.as_ref().map(|reload| reload.at);
+        let own = [self.core.next(), self.life.next(), Some(self.look_at), lease, reload];
         own.into_iter().flatten().fold(parts, f64::min)
     }
 
@@ -346,6 +364,9 @@
             self.look_at = now + self.limits.look;
             self.look(now);
         }
+        if self.reload.as_ref().is_some_and(|reload| reload.at <= now) {
+            self.reload(now);
+        }
         let (core, mut doors) = self.doors();
         core.alarm(now, &mut doors);
         self.live(now);
@@ -385,10 +406,10 @@
         while let Some(number) = self.signals.come.pop_front() {
             self.signal(now, number);
         }
-        let changes = self.source.take();
-        if !changes.is_empty() {
+        if let Some(changes) = self.source.take() {
             self.members(now, Scope::Changes, changes);
         }
+        self.follow_lease(now);
         self.stored(now);
         self.commands(now);
     }
@@ -467,8 +488,8 @@
             match known::servers(text) {
                 Ok(members) => {
                     // The source must know of them, or it could not tell that one is gone.
-                    self.source.hold(members.clone());
-                    self.members(now, Scope::Restored, members.all());
+                    self.source.hold(now, members.clone());
+                    self.members(now, Scope::Restored, Changes { told: now, members: members.all() });
                 }
                 Err(e) => tracing::info!(at = now, part = "store", "engines: {e}"),
             }
@@ -503,7 +524,7 @@
     }
 
     /// Takes news of the list.
-    fn members(&mut self, now: Time, scope: Scope, members: Vec<Member>) {
+    fn members(&mut self, now: Time, scope: Scope, Changes { told, members }: Changes) {
         self.members.change(members.clone());
         let left = members.iter().filter(|m| m.entry.lifecycle == Lifecycle::Gone);
         self.gone.extend(left.map(|m| (m.entry.id.clone(), now)));
@@ -512,24 +533,44 @@
         if let Some(store) = self.store.as_mut().filter(|_| !self.members.all().is_empty()) {
             store.lead_with(now, store::ENGINES, &known::write(&self.members));
         }
-        self.follow(now, scope, members);
+        self.follow(now, told, scope, members);
     }
 
-    /// Tells links and core of engines. One that operators have left out drains, whatever the list says.
-    fn follow(&mut self, now: Time, scope: Scope, mut members: Vec<Member>) {
+    /// Looks whether the list may still be believed. Once it may not, all engines count as draining here, and links begin
+    /// nothing, until the source has heard a list anew.
+    fn follow_lease(&mut self, now: Time) {
+        let until = self.source.valid_until();
+        self.resp.valid_until(until);
+        if let Some((_, link)) = &mut self.mysql {
+            link.valid_until(until);
+        }
+        let lapsed = until <= now;
+        if lapsed == std::mem::replace(&mut self.lapsed, lapsed) {
+            return;
+        }
+        let what = if lapsed { "is too old: nothing begins" } else { "counts again" };
+        tracing::info!(at = now, "the list of engines {what}");
+        self.follow(now, now, Scope::Changes, self.members.all());
+    }
+
+    /// Tells links and core of engines. One that operators have left out drains, whatever the list says; `told` is since
+    /// when the list counts as told.
+    fn follow(&mut self, now: Time, told: Time, scope: Scope, mut members: Vec<Member>) {
         for Member { entry, address } in &mut members {
             let banned = self.out_since(now, &entry.id).filter(|_| entry.lifecycle == Lifecycle::Ready);
             if banned.is_some() {
                 entry.lifecycle = Lifecycle::Draining;
             }
             // One that is gone is no longer in the list, but its attempts may be out.
-            let told = banned.unwrap_or(now);
-            self.resp.engine(told, &entry.id, entry.lifecycle, *address);
+            let told = banned.unwrap_or(told);
+            self.resp.engine(now, told, &entry.id, entry.lifecycle, *address);
             if let Some((_, link)) = &mut self.mysql {
                 link.engine(told, &entry.id, entry.lifecycle, address.map(|a| a.ip()));
             }
             if entry.lifecycle != Lifecycle::Ready {
                 tracing::info!(at = now, "engine {} is {:?}", entry.id, entry.lifecycle);
+            } else if self.lapsed {
+                entry.lifecycle = Lifecycle::Draining;
             }
         }
         let entries = members.into_iter().map(|m| m.entry).collect();
@@ -555,7 +596,7 @@
             if !out {
                 member.entry.started = Some(now);
             }
-            self.follow(now, Scope::Changes, vec![member]);
+            self.follow(now, now, Scope::Changes, vec![member]);
         }
     }
 
@@ -597,10 +638,8 @@
         if number == SIGUSR1 {
             tracing::info!("{}", self.counters());
         } else if number == SIGHUP {
-            match self.reload(now) {
-                Ok(said) => tracing::info!(at = now, "{said}"),
-                Err(e) => tracing::info!(at = now, "the old configuration stays: {e}"),
-            }
+            self.reload = None; // the newest one is read, whatever became of the one before
+            self.reload(now);
         } else if self.life == Life::Serving {
             // The front goes on sending for a while: what comes is still served.
             let until = now + self.limits.grace;
@@ -618,11 +657,24 @@
         }
     }
 
-    /// Reads the configuration again: the directory's address counts at once, the rest from the next start on.
-    fn reload(&mut self, now: Time) -> Result<String, String> {
-        let names = Config::from_env()?.names;
-        self.source.move_to(now, names, &self.poller).map_err(|e| format!("directory {names}: {e}"))?;
-        Ok(format!("configuration read again: directory {names}"))
+    /// Reads the configuration again: the directory's address counts at once, the rest from the next start on. One that
+    /// cannot be read may be half written, or there may be no descriptor: it is read again until it can.
+    fn reload(&mut self, now: Time) {
+        let names = match Config::from_env() {
+            Ok(config) => config.names,
+            Err(why) => {
+                let fresh = || Backoff::new(RELOAD_PAUSES.0, RELOAD_PAUSES.1);
+                let mut pauses = self.reload.take().map_or_else(fresh, |reload| reload.pauses);
+                if pauses.is_first() {
+                    tracing::info!(at = now, "the old configuration stays: {why}");
+                }
+                self.reload = Some(Reload { at: now + pauses.next_pause(), pauses });
+                return;
+            }
+        };
+        self.reload = None;
+        tracing::info!(at = now, "configuration read again: directory {names}");
+        self.source.move_to(now, names);
     }
 
     /// Whether the program may end: every answer is out, and nobody has said anything that was not heard. New
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -71,6 +71,8 @@
 
 pub mod choice;
 pub mod interface;
+pub mod lease;
 pub mod rings;
+pub mod roster;
 pub mod running;
 pub mod settings;
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -99,8 +99,8 @@
     pub datagram: usize,
     /// An answer of Consul.
     pub list: usize,
-    /// How long Consul holds a blocking query. With a quarter more, after which a silent agent is asked anew, it stays
-    /// under the 7 s after which what Consul has to tell counts as told.
+    /// How long Consul holds a blocking query. What it tells is true as of the question, so with a quarter more, after
+    /// which a silent agent is asked anew, two in a row must fit in the lease on the list.
     pub watch: f64,
     /// Pause before Consul is tried again.
     pub again: f64,
@@ -229,7 +229,7 @@
             queries: 40,
             datagram: 8_192,
             list: 1 << 20,
-            watch: 5.0,
+            watch: 2.0,
             again: 1.0,
             replicas: 32,
             look: 0.2,
--- a/src/link/mysql/mod.rs
+++ b/src/link/mysql/mod.rs
@@ -66,6 +66,8 @@
 struct Running {
     id: RequestId,
     attempt: u32,
+    /// When it must have begun to go out.
+    by: Time,
     work: Work,
     /// By which what runs it can be taken back; none while the connection is not ready for it.
     tag: Option<u64>,
@@ -90,6 +92,8 @@
     table: Table<Line>,
     engines: Engines,
     calls: HashMap<(RequestId, u32), Token>,
+    /// Nothing begins from then on: the list of engines may be believed until then.
+    valid_until: Time,
     shared: Shared,
 }
 
@@ -104,7 +108,7 @@
         let (news, timers, readers) = (VecDeque::new(), Timers::default(), HashMap::new());
         let shared = Shared { limits, config, news, timers, written: 0, spool, readers };
         let (table, engines) = (Table::new(part, poller), Engines::default());
-        Self { table, engines, calls: HashMap::new(), shared }
+        Self { table, engines, calls: HashMap::new(), valid_until: Time::INFINITY, shared }
     }
 
     pub fn take(&mut self) -> Option<News> {
@@ -123,12 +127,20 @@
         self.table.settle(now, token, flow, &mut self.shared);
     }
 
-    /// Follows the list of engines.
-    pub fn engine(&mut self, now: Time, id: &EngineId, lifecycle: Lifecycle, told: Option<IpAddr>) {
-        let address = self.shared.config.engine.address(id, told);
-        let closes = now + self.shared.limits.drain_grace;
-        if let Some(closes) = self.engines.follow(id, lifecycle, address, closes) {
-            self.shared.timers.set(closes, Alarm::Drained(id.clone()));
+    /// Until when the list of engines may be believed.
+    pub fn valid_until(&mut self, until: Time) {
+        self.valid_until = until;
+    }
+
+    /// Follows the list of engines; `told` is since when this counts as told.
+    pub fn engine(&mut self, told: Time, id: &EngineId, lifecycle: Lifecycle, address: Option<IpAddr>) {
+        let address = self.shared.config.engine.address(id, address);
+        let closes = told + self.shared.limits.drain_grace;
+        let Some(closes) = self.engines.follow(id, lifecycle, address, closes) else { return };
+        self.shared.timers.set(closes, Alarm::Drained(id.clone()));
+        for token in self.engines.get(id).map(|e| e.lines.clone()).unwrap_or_default() {
+            let running = self.table.get(token).and_then(|line| line.running.as_mut());
+            running.into_iter().for_each(|run| run.by = run.by.min(closes));
         }
     }
 
@@ -220,6 +232,11 @@
 
 impl Link for MysqlLink {
     fn start(&mut self, now: Time, call: Call) {
+        let closes = self.engines.get(&call.engine).and_then(|e| e.closes).unwrap_or(Time::INFINITY);
+        let by = call.begins_by.min(closes).min(self.valid_until);
+        if by <= now {
+            return self.shared.news.push_back(News::ended(&call.id, call.attempt, Ending::NotSent));
+        }
         let token = self.line_for(now, &call);
         let Some(line) = token.and_then(|t| self.table.get(t)) else {
             // There is no place for it here, which says nothing of whether the engine can be reached.
@@ -227,7 +244,7 @@
         };
         let token = line.token;
         let (id, attempt, tag) = (call.id.clone(), call.attempt, None);
-        line.running = Some(Running { id, attempt, work: call.work, tag });
+        line.running = Some(Running { id, attempt, by, work: call.work, tag });
         let mut flow = Flow::Open;
         if matches!(line.stage, Stage::Idle) {
             line.begin(&self.shared.limits);
@@ -296,6 +313,16 @@
         self.send_on(now, shared)
     }
 
+    /// A call whose time to begin is over is not begun: a process may have slept since it was queued.
+    fn before_write(&mut self, now: Time, _: &mut Shared) -> Flow {
+        let late = self.running.as_ref().is_some_and(|run| run.by <= now);
+        if late && self.is_unsent() {
+            Flow::Close
+        } else {
+            Flow::Open
+        }
+    }
+
     fn has_more(&self) -> bool {
         self.sending.as_ref().is_some_and(|sending| !sending.waits)
     }
--- a/src/link/resp/mod.rs
+++ b/src/link/resp/mod.rs
@@ -98,6 +98,8 @@
     engines: Engines,
     /// The connection of every attempt that is out.
     calls: HashMap<(RequestId, u32), Token>,
+    /// Nothing begins from then on: the list of engines may be believed until then.
+    valid_until: Time,
     shared: Shared,
 }
 
@@ -105,7 +107,13 @@
     pub fn new(part: u8, spool: Option<bodies::Shared>, poller: Rc<Poller>, limits: Rc<Limits>) -> Self {
         let (news, again, timers, free) = (VecDeque::new(), Vec::new(), Timers::default(), Vec::new());
         let shared = Shared { limits, news, again, timers, free, written: 0, spool, readers: HashMap::new() };
-        Self { table: Table::new(part, poller), engines: Engines::default(), calls: HashMap::new(), shared }
+        Self {
+            table: Table::new(part, poller),
+            engines: Engines::default(),
+            calls: HashMap::new(),
+            valid_until: Time::INFINITY,
+            shared,
+        }
     }
 
     pub fn take(&mut self) -> Option<News> {
@@ -125,9 +133,22 @@
         self.send_waiting(now);
     }
 
-    /// Follows the list of engines. `address` is absent where the list does not tell it.
-    pub fn engine(&mut self, now: Time, id: &EngineId, lifecycle: Lifecycle, address: Option<SocketAddr>) {
-        let closes = now + self.shared.limits.drain_grace;
+    /// Until when the list of engines may be believed.
+    pub fn valid_until(&mut self, until: Time) {
+        self.valid_until = until;
+    }
+
+    /// Follows the list of engines; `told` is since when this counts as told. `address` is absent where the list does not
+    /// tell it.
+    pub fn engine(
+        &mut self,
+        now: Time,
+        told: Time,
+        id: &EngineId,
+        lifecycle: Lifecycle,
+        address: Option<SocketAddr>,
+    ) {
+        let closes = told + self.shared.limits.drain_grace;
         if let Some(closes) = self.engines.follow(id, lifecycle, address, closes) {
             self.shared.timers.set(closes, Alarm::Drained(id.clone()));
             for token in self.engines.get(id).map(|e| e.lines.clone()).unwrap_or_default() {
@@ -318,6 +339,7 @@
                 return self.shared.news.push_back(News::ended(&call.id, call.attempt, Ending::Moot));
             }
         }
+        let by = by.min(self.valid_until);
         let found = if now < by { self.line_for(now, &call) } else { Err(Ending::NotSent) };
         let token = match found {
             Ok(token) => token,
@@ -330,6 +352,7 @@
 
     /// Puts a call on a connection.
     fn put(&mut self, now: Time, token: Token, call: Call, reader: Option<Reader>, by: Time, moves: usize) {
+        let by = by.min(self.valid_until);
         let Some(line) = self.table.get(token) else { return };
         let tag = match &reader {
             None => line.channel.push_counted(request(now, &call)),
--- a/src/membership/consul/mod.rs
+++ b/src/membership/consul/mod.rs
@@ -3,10 +3,11 @@
 
 mod http;
 
-use super::{Member, Members, Source};
+use super::{Changes, Member, Members, Source};
 use crate::limits::Limits;
 use crate::net::{Channel, Connection, Flow, Part, Poller, Ready, Table, Time, Token};
 use dahliaspoke::interface::{EngineEntry, Lifecycle};
+use dahliaspoke::lease::Lease;
 use dahliaspoke::settings::{field, list, num, object, part, word, Res};
 use http::Malformed;
 use serde::Deserialize;
@@ -44,8 +45,8 @@
 
 /// Where the watch on the service stands.
 enum Watch {
-    /// Asked; the answer is due by then.
-    Waits(Token, Time),
+    /// Asked at the first time; the answer is due by the second.
+    Waits { token: Token, asked: Time, due: Time },
     /// Failed or answered; asked again then.
     Rests(Time),
 }
@@ -58,16 +59,20 @@
     shared: Shared,
     watch: Watch,
     index: u64,
+    /// The last call failed: the next one is not held, so that its answer renews the lease at once.
+    failed: bool,
     members: Members,
     registered: bool,
+    lease: Lease,
     /// What has changed and was not told yet.
-    changes: Vec<Member>,
+    changes: Option<Changes>,
     bad: u64,
 }
 
 impl Consul {
     pub fn new(
         part: u8,
+        now: Time,
         config: Config,
         own: (String, SocketAddr),
         members: Members,
@@ -78,12 +83,14 @@
             config,
             own,
             table: Table::new(part, poller),
+            lease: Lease::new(now, limits.drain_grace),
             shared: Shared { limits, replies: Vec::new() },
             watch: Watch::Rests(0.0),
             index: 0,
+            failed: false,
             members,
             registered: false,
-            changes: Vec::new(),
+            changes: None,
             bad: 0,
         }
     }
@@ -111,14 +118,18 @@
 }
 
 impl Source for Consul {
-    fn take(&mut self) -> Vec<Member> {
-        std::mem::take(&mut self.changes)
+    fn take(&mut self) -> Option<Changes> {
+        self.changes.take()
     }
 
-    fn hold(&mut self, members: Members) {
+    fn hold(&mut self, _: Time, members: Members) {
         self.members = members;
     }
 
+    fn valid_until(&self) -> Time {
+        self.lease.ends()
+    }
+
     /// Takes this coordinator out of the catalogue.
     fn leave(&mut self, now: Time) {
         let Some(service) = self.config.register.clone().filter(|_| self.registered) else { return };
@@ -135,7 +146,7 @@
 impl Part for Consul {
     fn next(&mut self) -> Option<Time> {
         match self.watch {
-            Watch::Waits(_, until) | Watch::Rests(until) => Some(until),
+            Watch::Waits { due: until, .. } | Watch::Rests(until) => Some(until),
         }
     }
 
@@ -144,20 +155,22 @@
         if self.next().is_some_and(|at| now < at) {
             return;
         }
-        if let Watch::Waits(token, _) = self.watch {
+        if let Watch::Waits { token, .. } = self.watch {
             self.table.close(now, token, &mut self.shared);
             // Its end is our doing: it says nothing of the entry in the catalogue.
             self.shared.replies.retain(|(of, _)| *of != token);
             self.bad += 1;
+            self.failed = true;
         }
         if !self.registered {
             self.register(now);
         }
         let wait = self.shared.limits.watch;
-        let path = format!("/v1/health/service/{}?index={}&wait={wait}s", self.config.service, self.index);
+        let index = if self.failed { 0 } else { self.index };
+        let path = format!("/v1/health/service/{}?index={index}&wait={wait}s", self.config.service);
         self.watch = match self.call(now, "GET", &path, "") {
             // The agent adds up to a sixteenth to the wait.
-            Some(token) => Watch::Waits(token, now + wait * 1.25),
+            Some(token) => Watch::Waits { token, asked: now, due: now + wait * 1.25 },
             None => Watch::Rests(now + self.shared.limits.again),
         };
     }
@@ -166,22 +179,26 @@
     fn ready(&mut self, now: Time, ready: Ready) {
         self.table.ready(now, ready, &mut self.shared);
         for (token, reply) in std::mem::take(&mut self.shared.replies) {
-            let watched = matches!(self.watch, Watch::Waits(waits, _) if waits == token);
+            let watched = match self.watch {
+                Watch::Waits { token: waits, asked, .. } if waits == token => Some(asked),
+                _ => None,
+            };
             let list = reply.map_err(|Malformed| "malformed".to_string()).and_then(|reply| {
                 if reply.status != 200 {
                     return Err(format!("status {}", reply.status));
                 }
-                if watched {
-                    read(&reply).map(Some)
-                } else {
-                    Ok(None)
-                }
+                watched.map(|asked| read(&reply).map(|(index, members)| (asked, index, members))).transpose()
             });
             match list {
-                Ok(Some((index, members))) => {
+                Ok(Some((asked, index, members))) => {
                     // An index that goes back starts from nothing; one of 0 would not block.
                     self.index = if index < self.index { 0 } else { index.max(1) };
-                    self.changes.extend(self.members.replace(members));
+                    self.failed = false;
+                    let told = self.lease.confirmed();
+                    self.lease.confirm(asked);
+                    let members = self.members.replace(members);
+                    let changes = Changes { told, members: Vec::new() };
+                    self.changes.get_or_insert(changes).members.extend(members);
                     self.watch = Watch::Rests(now);
                 }
                 Ok(None) => {}
@@ -190,7 +207,8 @@
                     self.bad += 1;
                     // What is held stays: an agent that fails says nothing of the engines.
                     let rest = Watch::Rests(now + self.shared.limits.again);
-                    if watched {
+                    if watched.is_some() {
+                        self.failed = true;
                         self.watch = rest;
                     } else {
                         self.registered = false; // tried again with the next watch
--- a/src/membership/dns/mod.rs
+++ b/src/membership/dns/mod.rs
@@ -1,124 +1,218 @@
 //! The directory: the list of engines by DNS over UDP, polled.
+//!
+//! What an answer may change is decided in [`Roster`]; here are the questions, their sockets and their times.
 
 mod message;
+mod socket;
 
-use super::{Member, Members, Source};
+use super::{Changes, Members, Source};
 use crate::limits::Limits;
-use crate::net::{Part, Poller, Ready, Time, Token};
+use crate::net::{Backoff, Part, Poller, Ready, Time, Token};
+use dahliaspoke::roster::{List, Roster, Verdict};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use socket::Sockets;
 use std::collections::VecDeque;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 const NAME: &str = "_back._tcp.pool.lan";
-/// Without an answer for so long the directory is said to be silent (s).
-const QUIET: Time = 1.0;
-
-/// A socket that hears answers from there alone.
-fn open(part: u8, names: SocketAddr, poller: &Poller) -> io::Result<UdpSocket> {
-    let any: SocketAddr = (Ipv4Addr::UNSPECIFIED, 0).into();
-    let socket = UdpSocket::bind(any)?;
-    socket.connect(names)?;
-    socket.set_nonblocking(true)?;
-    poller.add(&socket, Token::new(part, 0, 0), false)?;
-    Ok(socket)
+
+/// Without an answer for so long (s) the directory is silent: it is said so, and asked from another port.
+const SILENT: Time = 1.0;
+
+/// Pauses (s) between two ports: an answer that is late still finds the one that it was asked from.
+const RENEW_PAUSES: (Time, Time) = (1.0, 8.0);
+
+/// Datagrams that are read at one turn of the loop, so that a flood does not hold it up.
+const DATAGRAMS: usize = 16;
+
+/// Pauses (s) between tries to open a socket to a directory that has moved.
+const MOVE_PAUSES: (Time, Time) = (0.05, 1.0);
+
+/// A question that no answer has come to.
+struct Question {
+    id: u16,
+    asked: Time,
+}
+
+/// A directory that is to be asked and that no socket could be opened to yet.
+struct Move {
+    to: SocketAddr,
+    at: Time,
+    pauses: Backoff,
+}
+
+/// Whether answers come.
+enum Hearing {
+    /// The last one came then.
+    Heard(Time),
+    /// None has come since; another port is tried at `renew`.
+    Silent { since: Time, renew: Time, pauses: Backoff },
 }
 
 /// Asks for the whole list again and again; a lost datagram costs one pause.
 pub struct Directory {
-    part: u8,
-    socket: UdpSocket,
+    sockets: Sockets,
+    poller: Rc<Poller>,
     limits: Rc<Limits>,
-    members: Members,
-    serial: u32,
-    query: u16,
-    /// Queries that no answer has come to, the latest last.
-    asked: VecDeque<u16>,
+    roster: Roster,
+    /// Ids cannot be guessed: an answer to another life of this process, or a forged one, has none that is waited for.
+    ids: Pcg64Mcg,
+    /// Questions that no answer has come to, the latest last.
+    questions: VecDeque<Question>,
+    /// The id of the latest one.
+    latest: u16,
+    /// When it is asked next.
     at: Time,
-    /// When the last answer came that could be used.
-    heard: Time,
-    /// Answers are missing, and it was said so.
-    quiet: bool,
-    /// The last number that was passed over, so that each is told once.
-    passed_over: u32,
-    /// What has changed and was not told yet.
-    changes: Vec<Member>,
+    hearing: Hearing,
+    moving: Option<Move>,
+    changes: Option<Changes>,
     bad: u64,
 }
 
 impl Directory {
-    /// Starts from the list that the configuration holds.
+    /// Starts from the list that the configuration holds, and its number.
     pub fn new(
         part: u8,
+        now: Time,
         names: SocketAddr,
-        (serial, members): (u32, Members),
-        poller: &Poller,
+        (number, members): (u32, Members),
+        seed: u64,
+        poller: Rc<Poller>,
         limits: Rc<Limits>,
     ) -> io::Result<Self> {
-        let socket = open(part, names, poller)?;
-        let (asked, changes) = (VecDeque::new(), Vec::new());
-        let local = socket.local_addr()?;
-        tracing::info!(part = "directory", "asks {names} from {local}, holds number {serial}");
-        let (heard, quiet, passed_over) = (Time::INFINITY, false, serial);
+        let sockets = Sockets::open(Token::new(part, 0, 0), names, &poller)?;
+        let local = sockets.local()?;
+        tracing::info!(at = now, part = "directory", "asks {names} from {local}, holds list {number}");
         Ok(Self {
-            part,
-            socket,
+            sockets,
+            poller,
+            roster: Roster::new(now, limits.drain_grace, number, members),
             limits,
-            members,
-            serial,
-            query: 0,
-            asked,
-            at: 0.0,
-            heard,
-            quiet,
-            passed_over,
-            changes,
+            ids: Pcg64Mcg::seed_from_u64(seed),
+            questions: VecDeque::new(),
+            latest: 0,
+            at: now,
+            hearing: Hearing::Heard(now),
+            moving: None,
+            changes: None,
             bad: 0,
         })
     }
 
-    fn answer(&mut self, now: Time, answer: message::Answer) {
-        let behind = self.query.wrapping_sub(answer.id);
-        if std::mem::replace(&mut self.quiet, false) {
-            let silence = now - self.heard;
-            tracing::info!(at = now, part = "directory", "answers again after {silence:.3} s");
+    /// Turns to the directory that is wanted, or tries again later.
+    fn turn(&mut self, now: Time) {
+        let Some(mut moving) = self.moving.take() else { return };
+        let to = moving.to;
+        if let Err(error) = self.sockets.turn_to(to, &self.poller) {
+            if moving.pauses.is_first() {
+                tracing::info!(at = now, part = "directory", "cannot ask {to} yet: {error}");
+            }
+            moving.at = now + moving.pauses.next_pause();
+            self.moving = Some(moving);
+            return;
         }
-        self.heard = now;
-        self.asked.retain(|id| *id != answer.id);
-        // Datagrams overtake each other: an older list must not undo a newer one. Serials count round.
-        let newer = answer.serial.wrapping_sub(self.serial) as i32 > 0;
-        let (held, number) = (self.serial, answer.serial);
-        if !newer && number != held && number != self.passed_over {
-            self.passed_over = number;
-            tracing::info!(at = now, part = "directory", "list {number} passed over: {held} is held");
+        tracing::info!(at = now, part = "directory", "asks {to} from here on");
+        self.questions.clear(); // what the former one would have said
+        self.roster.forget_numbering();
+        self.hearing = Hearing::Heard(now);
+        self.at = now;
+    }
+
+    /// Notices that no answer comes.
+    fn listen(&mut self, now: Time) {
+        if let Hearing::Heard(since) = self.hearing {
+            if now - since <= SILENT {
+                return;
+            }
+            tracing::info!(at = now, part = "directory", "has not answered since {since:.3}");
+            let pauses = Backoff::new(RENEW_PAUSES.0, RENEW_PAUSES.1);
+            self.hearing = Hearing::Silent { since, renew: now, pauses };
+        }
+        if let Hearing::Silent { renew, pauses, .. } = &mut self.hearing {
+            if now >= *renew {
+                *renew = now + pauses.next_pause();
+                let renewed = self.sockets.renew(&self.poller).is_ok();
+                tracing::info!(at = now, part = "directory", renewed, "asks from another port");
+            }
         }
-        if newer {
+    }
+
+    fn ask_once(&mut self, now: Time) {
+        let mut id = self.ids.next_u32() as u16;
+        while self.questions.iter().any(|question| question.id == id) {
+            id = id.wrapping_add(1);
+        }
+        if self.questions.len() == self.limits.queries {
+            self.questions.pop_front();
+        }
+        self.latest = id;
+        self.questions.push_back(Question { id, asked: now });
+        // A question that cannot be sent is as good as lost: the next one follows.
+        let _ = self.sockets.send(&message::query(id, NAME));
+    }
+
+    /// Takes a datagram.
+    fn datagram(&mut self, now: Time, bytes: &[u8]) {
+        let answer = match message::read(bytes, NAME) {
+            Ok(answer) => answer,
+            Err(message::Malformed) => return self.unusable(now, "cannot be read", bytes.len()),
+        };
+        // What nobody asked for may be older than it says, or another's.
+        let Some(place) = self.questions.iter().position(|question| question.id == answer.id) else {
+            return self.unusable(now, "answers no question", bytes.len());
+        };
+        let Some(Question { asked, .. }) = self.questions.remove(place) else { return };
+        if let Hearing::Silent { since, .. } = self.hearing {
+            tracing::info!(at = now, part = "directory", "answers again, silent since {since:.3}");
+        }
+        self.hearing = Hearing::Heard(now);
+        self.take_list(now, asked, List { number: answer.serial, members: answer.members });
+    }
+
+    fn unusable(&mut self, now: Time, why: &str, length: usize) {
+        self.bad += 1;
+        tracing::info!(at = now, part = "directory", "an answer of {length} bytes {why}");
+    }
+
+    fn take_list(&mut self, now: Time, asked: Time, list: List) {
+        let number = list.number;
+        let held = self.roster.number();
+        // What the list tells anew came after the last time that it was confirmed, and may have been told since.
+        let told = self.roster.lease().confirmed();
+        let (verdict, members) = self.roster.answer(now, asked, list);
+        if verdict != Verdict::Confirmed {
+            let age = now - asked;
             tracing::info!(
                 at = now,
                 part = "directory",
-                "list {number} after {held}, {behind} questions old"
+                "list {number}, {held:?} held, asked for {age:.3} s ago: {verdict:?}"
             );
-            self.serial = answer.serial;
-            self.changes.extend(self.members.replace(answer.members));
+        }
+        if !members.is_empty() {
+            self.changes.get_or_insert_with(|| Changes { told, members: Vec::new() }).members.extend(members);
         }
     }
 }
 
 impl Source for Directory {
-    fn take(&mut self) -> Vec<Member> {
-        std::mem::take(&mut self.changes)
+    fn take(&mut self) -> Option<Changes> {
+        self.changes.take()
     }
 
-    fn hold(&mut self, members: Members) {
-        self.members = members;
+    fn hold(&mut self, now: Time, members: Members) {
+        self.roster.hold(now, members);
     }
 
-    /// The numbers of events go on.
-    fn move_to(&mut self, now: Time, names: SocketAddr, poller: &Poller) -> io::Result<()> {
-        self.socket = open(self.part, names, poller)?;
-        self.asked.clear(); // what the old one would have said
-        self.at = now;
-        Ok(())
+    fn valid_until(&self) -> Time {
+        self.roster.lease().ends()
+    }
+
+    fn move_to(&mut self, now: Time, names: SocketAddr) {
+        self.moving = Some(Move { to: names, at: now, pauses: Backoff::new(MOVE_PAUSES.0, MOVE_PAUSES.1) });
+        self.turn(now);
     }
 
     fn ask(&mut self, now: Time) {
@@ -127,7 +221,7 @@
     }
 
     fn waits(&self) -> bool {
-        self.asked.contains(&self.query)
+        self.questions.back().is_some_and(|question| question.id == self.latest)
     }
 
     fn bad(&self) -> u64 {
@@ -137,52 +231,29 @@
 
 impl Part for Directory {
     fn next(&mut self) -> Option<Time> {
-        Some(self.at)
+        let moving = self.moving.as_ref().map_or(Time::INFINITY, |moving| moving.at);
+        Some(self.at.min(moving))
     }
 
     /// Asks, when it is time to.
     fn alarm(&mut self, now: Time) {
+        if self.moving.as_ref().is_some_and(|moving| moving.at <= now) {
+            self.turn(now);
+        }
         if now < self.at {
             return;
         }
         self.at = now + self.limits.poll;
-        self.heard = self.heard.min(now);
-        if now - self.heard > QUIET && !std::mem::replace(&mut self.quiet, true) {
-            let silence = now - self.heard;
-            tracing::info!(at = now, part = "directory", "has not answered for {silence:.3} s");
-        }
-        self.query = self.query.wrapping_add(1);
-        if self.asked.len() == self.limits.queries {
-            self.asked.pop_front();
-        }
-        self.asked.push_back(self.query);
-        // A query that cannot be sent is as good as lost: the next one follows.
-        let _ = self.socket.send(&message::query(self.query, NAME));
+        self.listen(now);
+        self.ask_once(now);
     }
 
     /// Reads what has come.
     fn ready(&mut self, now: Time, _: Ready) {
         let mut buffer = vec![0; self.limits.datagram];
-        // Bounded, so that a flood does not keep the loop here.
-        for _ in 0..16 {
-            let Ok(length) = self.socket.recv(&mut buffer) else { break };
-            match message::read(&buffer[..length], NAME) {
-                // What nobody asked for may be older than it says, or another's.
-                Ok(answer) if self.asked.contains(&answer.id) => self.answer(now, answer),
-                Ok(answer) => {
-                    self.bad += 1;
-                    let (id, latest) = (answer.id, self.query);
-                    tracing::info!(
-                        at = now,
-                        part = "directory",
-                        "answer to {id} not asked for, latest {latest}"
-                    );
-                }
-                Err(message::Malformed) => {
-                    self.bad += 1;
-                    tracing::info!(at = now, part = "directory", "answer of {length} bytes cannot be used");
-                }
-            }
+        for _ in 0..DATAGRAMS {
+            let Some(length) = self.sockets.receive(&mut buffer) else { return };
+            self.datagram(now, &buffer[..length]);
         }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The event loop's parts: epoll, connection objects with callbacks, buffers, timers, the clock, and
 //! the framing that more than one part speaks.
 
+mod backoff;
 mod channel;
 mod clock;
 mod listener;
@@ -11,6 +12,7 @@
 mod table;
 mod timers;
 
+pub use backoff::Backoff;
 pub use channel::Channel;
 pub use clock::{Clock, Time};
 pub use listener::{inherited, Listener};
--- /dev/null
+++ b/src/roster.rs
@@ -0,0 +1,360 @@
+//! The engine list as the directory's answers make it: which answer is the newer, and which engine may be believed
+//! to be ready. Pure: no socket, no clock; times are seconds on the caller's monotonic clock.
+//!
+//! An answer counts only for the question that it answers, and questions are ordered by when they were asked. The
+//! number in an answer orders lists within one numbering and no further: a directory that was started anew, or another
+//! one, begins again. So
+//!
+//! - a higher number brings a newer list, and the held number with the held content confirms it;
+//! - any other answer to a later question contradicts the list. What it does not tell as ready is withheld at once;
+//!   after [`CONTRADICTIONS`] in a row without a confirmation between them the numbering has begun again;
+//! - an engine goes from ready to draining to gone. It comes back as a later start of its process. Without one it comes
+//!   back where one numbering tells of both, the drain and the return, and [`CONFIRMATIONS`] answers in a row agree: an
+//!   old list may carry a high number of an earlier numbering.
+
+use crate::interface::{EngineEntry, EngineId, Lifecycle};
+use crate::lease::Lease;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// Answers in a row that contradict the held list until they are taken for a new numbering. A directory that now and
+/// then answers with an old list confirms the held one in between.
+pub const CONTRADICTIONS: u32 = 5;
+
+/// Answers in a row that must tell of an engine's return where its process was not started anew.
+pub const CONFIRMATIONS: u32 = 5;
+
+/// How long (s) a drain or a departure outweighs a new numbering that says otherwise: far beyond the age of any answer.
+const REMEMBERED: f64 = 60.0;
+
+/// Departures that are remembered at the most; the oldest make room.
+const MOST_DEPARTED: usize = 4_096;
+
+/// An engine as a list tells it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// What the decisions know of it.
+    pub entry: EngineEntry,
+    /// Where it listens; absent for one that is gone.
+    pub address: Option<SocketAddr>,
+}
+
+/// Engines by id.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Members(BTreeMap<EngineId, Member>);
+
+impl Members {
+    /// Takes changed entries.
+    pub fn change(&mut self, changes: Vec<Member>) {
+        for member in changes {
+            if member.entry.lifecycle == Lifecycle::Gone {
+                self.0.remove(&member.entry.id);
+            } else {
+                self.0.insert(member.entry.id.clone(), member);
+            }
+        }
+    }
+
+    /// Takes a complete list and returns what has changed; who is missing in it is gone.
+    pub fn replace(&mut self, list: Vec<Member>) -> Vec<Member> {
+        let new: BTreeMap<_, _> = list.into_iter().map(|m| (m.entry.id.clone(), m)).collect();
+        let changed = new.values().filter(|m| self.0.get(&m.entry.id) != Some(m)).cloned();
+        let gone = self.0.values().filter(|m| !new.contains_key(&m.entry.id)).map(|m| {
+            let entry = EngineEntry { lifecycle: Lifecycle::Gone, ..m.entry.clone() };
+            Member { entry, address: None }
+        });
+        let changes = changed.chain(gone).collect();
+        self.0 = new;
+        changes
+    }
+
+    /// One of them.
+    #[must_use]
+    pub fn get(&self, id: &EngineId) -> Option<&Member> {
+        self.0.get(id)
+    }
+
+    /// All of them, by id.
+    #[must_use]
+    pub fn all(&self) -> Vec<Member> {
+        self.0.values().cloned().collect()
+    }
+
+    /// Whether there is none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+/// A complete list, as an answer holds it.
+#[derive(Clone, Debug)]
+pub struct List {
+    /// The number of the last event in it.
+    pub number: u32,
+    /// Every engine that it tells of.
+    pub members: Vec<Member>,
+}
+
+/// What became of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It brought a newer list.
+    Newer,
+    /// It says what is held.
+    Confirmed,
+    /// It answers an earlier question than the one that confirmed what is held.
+    Overtaken,
+    /// It contradicts what is held; so many did in a row.
+    Contradicts(u32),
+    /// The numbering began again, and this list is held.
+    Renumbered,
+}
+
+/// Answers in a row that contradict the held list.
+#[derive(Clone, Copy, Debug, Default)]
+struct Contradiction {
+    count: u32,
+    /// When the last of their questions was asked.
+    asked: f64,
+}
+
+/// An engine that has left the list.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    started: Option<f64>,
+    at: f64,
+}
+
+/// Whether a list is of the numbering that the held one has.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Numbering {
+    Same,
+    New,
+}
+
+/// The engine list that one coordinator holds.
+#[derive(Debug)]
+pub struct Roster {
+    lease: Lease,
+    /// The number of the list in `said`; none where the next answer begins a numbering.
+    number: Option<u32>,
+    /// The list as it was told last.
+    said: Members,
+    /// The list as it is believed.
+    held: Members,
+    /// Since when an engine in `held` has drained.
+    draining: BTreeMap<EngineId, f64>,
+    departed: BTreeMap<EngineId, Departure>,
+    /// Engines that are told to be back, and how many answers in a row said so.
+    returning: BTreeMap<EngineId, u32>,
+    /// Engines that the latest contradiction does not tell as ready.
+    withheld: BTreeSet<EngineId>,
+    contradiction: Contradiction,
+}
+
+impl Roster {
+    /// Starts from the list of the configuration, true at `now`.
+    #[must_use]
+    pub fn new(now: f64, grace: f64, number: u32, members: Members) -> Self {
+        let mut roster = Self {
+            lease: Lease::new(now, grace),
+            number: Some(number),
+            said: Members::default(),
+            held: Members::default(),
+            draining: BTreeMap::new(),
+            departed: BTreeMap::new(),
+            returning: BTreeMap::new(),
+            withheld: BTreeSet::new(),
+            contradiction: Contradiction::default(),
+        };
+        roster.hold(now, members);
+        roster
+    }
+
+    /// The number of the list that is held, if it has one.
+    #[must_use]
+    pub fn number(&self) -> Option<u32> {
+        self.number
+    }
+
+    /// The lease on what is held.
+    #[must_use]
+    pub fn lease(&self) -> &Lease {
+        &self.lease
+    }
+
+    /// Holds a list from another source.
+    pub fn hold(&mut self, now: f64, members: Members) {
+        self.take(now, members.all(), Numbering::New);
+    }
+
+    /// Another directory is asked from here on: its numbers have nothing to do with those so far.
+    pub fn forget_numbering(&mut self) {
+        self.number = None;
+        self.contradiction = Contradiction::default();
+    }
+
+    /// Takes the answer, come at `now`, to a question asked at `asked`. Gives what became of it, and what changed: an engine
+    /// that is withheld counts as draining.
+    pub fn answer(&mut self, now: f64, asked: f64, list: List) -> (Verdict, Vec<Member>) {
+        let before = self.believed();
+        let verdict = self.judge(now, asked, list);
+        let mut changed = before;
+        let changes = changed.replace(self.believed().all());
+        (verdict, changes)
+    }
+
+    fn judge(&mut self, now: f64, asked: f64, list: List) -> Verdict {
+        let Some(number) = self.number else {
+            return self.begin_numbering(now, asked, list);
+        };
+        // Numbers count round.
+        let ahead = list.number.wrapping_sub(number) as i32;
+        if ahead > 0 {
+            self.accept(now, asked, list, Numbering::Same);
+            return Verdict::Newer;
+        }
+        if asked <= self.lease.confirmed() {
+            return Verdict::Overtaken;
+        }
+        if ahead == 0 && same(&self.said, &list.members) {
+            self.settle(asked);
+            return Verdict::Confirmed;
+        }
+        self.contradict(now, asked, list)
+    }
+
+    /// Either the answer is an old one, or the numbering began again: which, only further answers tell.
+    fn contradict(&mut self, now: f64, asked: f64, list: List) -> Verdict {
+        if asked > self.contradiction.asked {
+            self.contradiction.asked = asked;
+            self.contradiction.count += 1;
+        }
+        self.returning.values_mut().for_each(|count| *count = 0);
+        if self.contradiction.count >= CONTRADICTIONS {
+            return self.begin_numbering(now, asked, list);
+        }
+        let ready = |m: &&Member| m.entry.lifecycle == Lifecycle::Ready;
+        let ready: BTreeSet<&EngineId> = list.members.iter().filter(ready).map(|m| &m.entry.id).collect();
+        let doubted = self.held.0.keys().filter(|id| !ready.contains(id));
+        self.withheld = doubted.cloned().collect();
+        Verdict::Contradicts(self.contradiction.count)
+    }
+
+    fn begin_numbering(&mut self, now: f64, asked: f64, list: List) -> Verdict {
+        self.accept(now, asked, list, Numbering::New);
+        Verdict::Renumbered
+    }
+
+    fn accept(&mut self, now: f64, asked: f64, list: List, numbering: Numbering) {
+        self.number = Some(list.number);
+        self.take(now, list.members, numbering);
+        self.settle(asked);
+    }
+
+    /// What is held was true when that question was asked.
+    fn settle(&mut self, asked: f64) {
+        self.lease.confirm(asked);
+        self.withheld.clear();
+        self.contradiction = Contradiction::default();
+        self.returning.values_mut().for_each(|count| *count += 1);
+        let back: Vec<EngineId> = self
+            .returning
+            .iter()
+            .filter(|(_, count)| **count >= CONFIRMATIONS)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in back {
+            self.returning.remove(&id);
+            self.draining.remove(&id);
+            self.departed.remove(&id);
+            self.held.change(self.said.get(&id).cloned().into_iter().collect());
+        }
+    }
+
+    /// Takes a complete list into what is believed, each engine by its life cycle.
+    fn take(&mut self, now: f64, list: Vec<Member>, numbering: Numbering) {
+        self.departed.retain(|_, departure| now - departure.at < REMEMBERED);
+        self.expect_returns(&list, numbering);
+        let believed = list.iter().filter_map(|told| self.believe(now, told)).collect();
+        self.said.replace(list);
+        let changes = self.held.replace(believed);
+        for Member { entry, .. } in changes {
+            self.draining.remove(&entry.id);
+            match entry.lifecycle {
+                Lifecycle::Ready => drop(self.departed.remove(&entry.id)),
+                Lifecycle::Draining => drop(self.draining.insert(entry.id, now)),
+                Lifecycle::Gone => self.depart(now, entry),
+            }
+        }
+    }
+
+    /// Which engines the list tells to be back that its numbering told to drain or to be gone before.
+    fn expect_returns(&mut self, list: &[Member], numbering: Numbering) {
+        let ready = |told: &&Member| told.entry.lifecycle == Lifecycle::Ready;
+        let ready: BTreeMap<&EngineId, &Member> =
+            list.iter().filter(ready).map(|m| (&m.entry.id, m)).collect();
+        self.returning.retain(|id, _| numbering == Numbering::Same && ready.contains_key(id));
+        if numbering == Numbering::New {
+            return;
+        }
+        for (id, told) in ready {
+            let drains = self.held.get(id).is_some_and(|held| held.entry.lifecycle != Lifecycle::Ready);
+            if self.changed(told) && (drains || self.departed.contains_key(id)) {
+                self.returning.insert(id.clone(), 0);
+            }
+        }
+    }
+
+    /// An engine as it is believed after a list told this of it; none where it stays gone.
+    fn believe(&self, now: f64, told: &Member) -> Option<Member> {
+        let id = &told.entry.id;
+        let held = self.held.get(id);
+        let restarted = |started: Option<f64>| told.entry.started > started;
+        if told.entry.lifecycle != Lifecycle::Ready {
+            return Some(told.clone());
+        }
+        if let Some(departure) = self.departed.get(id) {
+            return restarted(departure.started).then(|| told.clone());
+        }
+        let drains = held.filter(|held| held.entry.lifecycle == Lifecycle::Draining);
+        let Some(drains) = drains.filter(|held| !restarted(held.entry.started)) else {
+            return Some(told.clone());
+        };
+        let since = self.draining.get(id).copied().unwrap_or(now);
+        let lifecycle = if now - since < REMEMBERED { Lifecycle::Draining } else { Lifecycle::Ready };
+        let entry = EngineEntry { lifecycle, ..told.entry.clone() };
+        Some(Member { entry, address: told.address.or(drains.address) })
+    }
+
+    /// Whether the numbering in use told otherwise of this engine before.
+    fn changed(&self, told: &Member) -> bool {
+        self.said.get(&told.entry.id).is_none_or(|said| said.entry.lifecycle != told.entry.lifecycle)
+    }
+
+    fn depart(&mut self, now: f64, entry: EngineEntry) {
+        if self.departed.len() >= MOST_DEPARTED {
+            let oldest = self.departed.iter().min_by(|a, b| a.1.at.total_cmp(&b.1.at));
+            let oldest = oldest.map(|(id, _)| id.clone());
+            oldest.and_then(|id| self.departed.remove(&id));
+        }
+        self.departed.insert(entry.id, Departure { started: entry.started, at: now });
+    }
+
+    /// What is held, less what is withheld.
+    fn believed(&self) -> Members {
+        let mut believed = self.held.clone();
+        for id in &self.withheld {
+            if let Some(member) = believed.0.get_mut(id) {
+                member.entry.lifecycle = Lifecycle::Draining;
+            }
+        }
+        believed
+    }
+}
+
+/// Whether a list says just that.
+fn same(said: &Members, list: &[Member]) -> bool {
+    said.0.len() == list.len() && list.iter().all(|member| said.get(&member.entry.id) == Some(member))
+}
--- a/tests/agreement_load.rs
+++ b/tests/agreement_load.rs
@@ -89,7 +89,7 @@
     let known: Vec<(&str, SocketAddr)> = engines.iter().map(|e| (e.id.as_str(), e.address)).collect();
     let doors =
         |fleet: &Fleet| -> Vec<SocketAddr> { fleet.doors[3..].iter().map(|doors| doors["http"]).collect() };
-    let config = |at: usize| daemon::config(&known, nobody()).replace("\"n1\"", &format!("\"c{at}\""));
+    let config = |at: usize| daemon::config_told(&known).replace("\"n1\"", &format!("\"c{at}\""));
     let plain = Fleet::start(program(), 9, "http", "store", |at, _| vec![("config.json".into(), config(at))]);
     let without = load(doors(&plain), seconds, 200.0);
     drop(plain);
@@ -133,7 +133,7 @@
     use queries::Manner::{Fail, Full, Reset, Serve};
     let engines = Engines::start(4);
     let known: Vec<(&str, SocketAddr)> = engines.list.iter().map(|(id, at)| (id.as_str(), *at)).collect();
-    let config = |at: usize| daemon::config(&known, nobody()).replace("\"n1\"", &format!("\"c{at}\""));
+    let config = |at: usize| daemon::config_told(&known).replace("\"n1\"", &format!("\"c{at}\""));
     let mut fleet = start_with(3, 6, config);
     let doors: Vec<SocketAddr> = fleet.doors[3..].iter().map(|doors| doors["http"]).collect();
     let (audit, over) = (Audit::default(), AtomicBool::new(false));
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -30,8 +30,7 @@
 fn start(engines: &[Engine], file: &str, file_size: Option<u64>) -> Daemon {
     let known: Vec<(&str, SocketAddr)> = engines.iter().map(|e| (e.id.as_str(), e.address)).collect();
     // Idle connections to engines go soon: at the end none may be left.
-    let config =
-        config(&known, names().local_addr().expect("bound")).replace("\"connIdle\":15", "\"connIdle\":1");
+    let config = config_told(&known).replace("\"connIdle\":15", "\"connIdle\":1");
     let files = [("bodies.toml", file.to_string())];
     match file_size {
         None => Daemon::start(&config, &files, None),
@@ -344,7 +343,7 @@
     // A listener that takes the connection and reads nothing.
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("bound");
-    let config = config(&[("e0", address)], names().local_addr().expect("bound"));
+    let config = config_told(&[("e0", address)]);
     let daemon = Daemon::start(&config, &[("bodies.toml", NOTHING.into())], None);
     let mut client = Client::new(&daemon);
     client.head("load", 1, true, 64 * MB).expect("sent");
--- a/tests/daemon/mod.rs
+++ b/tests/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! The program as a child process, with a configuration that names stand-ins on loopback.
 #![allow(dead_code)]
 
+use dahliaspoke_lab::standin::{Directory, Told};
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::OwnedFd;
@@ -79,6 +80,23 @@
     )
 }
 
+/// A directory that goes on telling of these engines, all ready, as a configuration does.
+pub fn directory(engines: &[(&str, SocketAddr)]) -> SocketAddr {
+    let told = |(id, address): &(&str, SocketAddr)| Told {
+        id: (*id).into(),
+        zone: "hall-a".into(),
+        address: *address,
+        drains: false,
+        started_ms: 0,
+    };
+    Directory::start(engines.iter().map(told).collect()).expect("a port").address
+}
+
+/// A configuration that knows these engines, with a directory that goes on telling of them.
+pub fn config_told(engines: &[(&str, SocketAddr)]) -> String {
+    config(engines, directory(engines))
+}
+
 /// Looks until it finds.
 fn within<T>(what: &str, mut find: impl FnMut() -> Option<T>) -> T {
     let until = Instant::now() + PATIENCE;
@@ -234,9 +252,10 @@
 
     /// Waits for a line that holds `text`.
     pub fn line(&self, text: &str) -> String {
+        let until = Instant::now() + PATIENCE;
         loop {
-            let line =
-                self.lines.recv_timeout(PATIENCE).unwrap_or_else(|e| panic!("no line with {text}: {e}"));
+            let left = until.saturating_duration_since(Instant::now());
+            let line = self.lines.recv_timeout(left).unwrap_or_else(|e| panic!("no line with {text}: {e}"));
             if line.contains(text) {
                 return line;
             }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -24,7 +24,8 @@
 //!
 //! In bytes, `\r`, `\n`, `\t`, `\\` and `\x00` are escapes, `<n>` stands for digits, `<8>` for any eight
 //! bytes, `<9*x>` for that text nine times, and `<e1>` for that engine's port in two bytes,
-//! `<e1.>` in five digits, `<q>` for the number of the directory's last query. Lines that begin with two blanks go on.
+//! `<e1.>` in five digits, `<q>` for the number of the directory's last query, `<q2>` for that of
+//! the second step `names <`. Lines that begin with two blanks go on.
 
 mod daemon;
 use daemon::*;
@@ -66,6 +67,10 @@
     ports: HashMap<String, u16>,
     streams: HashMap<String, TcpStream>,
     names: std::net::UdpSocket,
+    /// The exchange has steps of the directory: it answers nothing but what they say.
+    scripted: bool,
+    /// Else one that goes on telling of the engines of the start.
+    directory: Option<SocketAddr>,
     /// Where the directory was before it moved.
     former: Option<std::net::UdpSocket>,
     crowd: Vec<TcpStream>,
@@ -74,6 +79,8 @@
     /// What fills the lines of engines that are deaf.
     fillers: HashMap<String, TcpStream>,
     asker: Option<SocketAddr>,
+    /// Steps that have met a question to the directory.
+    queries: usize,
 }
 
 impl Player {
@@ -84,7 +91,8 @@
     }
 
     fn config(&self) -> String {
-        let config = config(&self.known(), self.names.local_addr().expect("bound"));
+        let scripted = || self.names.local_addr().expect("bound");
+        let config = config(&self.known(), self.directory.unwrap_or_else(scripted));
         self.settings.iter().fold(config, |config, (from, to)| config.replace(from, to))
     }
 
@@ -217,6 +225,9 @@
                 if parts.contains(&"few") {
                     self.settings.push((r#""sockets":256"#, r#""sockets":60"#));
                 }
+                if !self.scripted {
+                    self.directory = Some(directory(&self.known()));
+                }
                 let known = self.known();
                 let mut files = Vec::new();
                 if parts.contains(&"traced") {
@@ -300,7 +311,10 @@
                 let (query, from) = query(&self.names);
                 // The number of the query is its own affair.
                 assert_eq!(query[2..], self.bytes(text), "the query");
-                self.ports.insert("q".into(), u16::from_be_bytes([query[0], query[1]]));
+                let id = u16::from_be_bytes([query[0], query[1]]);
+                self.queries += 1;
+                self.ports.insert("q".into(), id);
+                self.ports.insert(format!("q{}", self.queries), id);
                 self.asker = Some(from);
             }
             ("names" | "former", ">") => {
@@ -356,11 +370,14 @@
         ports: HashMap::new(),
         streams: HashMap::new(),
         names: names(),
+        scripted: joined.lines().any(|step| step.starts_with("names ") || step == "moves"),
+        directory: None,
         former: None,
         crowd: Vec::new(),
         settings: Vec::new(),
         fillers: HashMap::new(),
         asker: None,
+        queries: 0,
     };
     for step in joined.lines().filter(|line| !line.is_empty() && !line.starts_with('#')) {
         player.step(step);
--- a/tests/list_lease.rs
+++ b/tests/list_lease.rs
@@ -9,9 +9,10 @@
 use dahliaspoke_rig::queries::Engines;
 use dahliaspoke_rig::until;
 use faulty_directory::{Behaviour, FaultyDirectory};
+use rustix::process::{getrlimit, prlimit, Pid, Resource, Rlimit};
 use std::cell::Cell;
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 /// Two engines, the directory that tells of them, and a coordinator between them and a client.
@@ -30,19 +31,16 @@
     fn start() -> Self {
         let (stays, drains) = (Engines::start(1), Engines::start(1));
         let known = [("stays", stays.list[0].1), ("drains", drains.list[0].1)];
-        let told = |(id, address): &(&str, _)| Told {
-            id: (*id).into(),
-            zone: "hall-a".into(),
-            address: *address,
-            drains: false,
-            started_ms: 0,
-        };
-        let list = known.iter().map(told).collect();
+        let list = known.iter().map(|(id, address)| Self::told(id, *address)).collect();
         let directory = FaultyDirectory::start(Behaviour { serial: 1, list, ..Behaviour::default() });
         let daemon = Daemon::start(&config(&known, directory.address), &[], None);
         Self { stays, drains, directory, daemon, asked: Cell::new(0) }
     }
 
+    fn told(id: &str, address: SocketAddr) -> Told {
+        Told { id: id.into(), zone: "hall-a".into(), address, drains: false, started_ms: 0 }
+    }
+
     /// The status that a new look-up is answered with.
     fn ask(&self) -> String {
         self.asked.set(self.asked.get() + 1);
@@ -142,3 +140,108 @@
     site.drain();
     site.until_drained();
 }
+
+/// The same where an answer of the former life has the id of a question that waits: its list is held for a moment, with its
+/// high number, until the directory's own answers outvote it.
+#[test]
+fn an_answer_that_brings_a_false_number_is_outvoted() {
+    let site = Site::start();
+    site.directory.change(|now| now.serial = 9);
+    until("a list of number 9 went out", || (site.directory.answers().len() > 5).then_some(()));
+    let high = site.directory.answers().pop().expect("some went out");
+    site.directory.change(|now| now.serial = 1);
+    site.directory.change(|now| now.ahead_as_answer = vec![high]);
+    site.until_served_by_drains();
+    site.directory.change(|now| now.ahead_as_answer.clear());
+    site.drain();
+    site.until_drained();
+}
+
+/// What is marked as cut says nothing, and does not keep the list alive either.
+#[test]
+fn truncated_answers_keep_no_list_alive() {
+    let site = Site::start();
+    site.until_served_by_drains();
+    site.directory.change(|now| now.truncated = true);
+    site.drain();
+    until("a request is refused", || (site.ask() == "503").then_some(()));
+    let before = site.drains.ids();
+    site.directory.change(|now| now.truncated = false);
+    until("it serves again", || (site.ask() == "200").then_some(()));
+    assert_eq!(site.drains.ids(), before, "something began at an engine that drains");
+}
+
+/// Something on the path has forgotten the port that asks: another one is tried, and nothing is refused meanwhile.
+#[test]
+fn a_port_that_hears_nothing_is_given_up() {
+    let site = Site::start();
+    site.until_served_by_drains();
+    site.directory.change(|now| now.deaf_to_first = true);
+    site.drain();
+    until("it asks from another port", || (site.directory.askers().len() > 1).then_some(()));
+    site.until_drained();
+    assert_eq!(site.ask(), "200");
+}
+
+impl Site {
+    /// A further directory that tells of the same engines, of which one drains, under a low number. The configuration names
+    /// it from here on.
+    fn next_directory(&self) -> (FaultyDirectory, String) {
+        let known = [("stays", self.stays.list[0].1), ("drains", self.drains.list[0].1)];
+        let list = known.iter().map(|(id, address)| Self::told(id, *address)).collect();
+        let next = FaultyDirectory::start(Behaviour { serial: 1, list, ..Behaviour::default() });
+        next.change(|now| now.list[DRAINS].drains = true);
+        let config = config(&known, next.address);
+        (next, config)
+    }
+}
+
+/// SIGHUP moves the directory to one whose numbers begin again, and the old one is gone.
+#[test]
+fn a_directory_that_has_moved_is_followed_whatever_its_numbers() {
+    let site = Site::start();
+    site.directory.change(|now| now.serial = 9);
+    site.until_served_by_drains();
+    let (_next, config) = site.next_directory();
+    site.daemon.configure(&config);
+    site.directory.change(|now| now.silent = true);
+    site.daemon.signal("HUP");
+    site.until_drained();
+}
+
+/// The configuration is half written as SIGHUP comes: it is read again, without another signal.
+#[test]
+fn a_half_written_configuration_is_read_again() {
+    let site = Site::start();
+    site.until_served_by_drains();
+    let (_next, config) = site.next_directory();
+    site.daemon.configure(&config[..config.len() / 2]);
+    site.daemon.signal("HUP");
+    site.daemon.line("the old configuration stays");
+    site.directory.change(|now| now.silent = true);
+    site.daemon.configure(&config);
+    site.until_drained();
+}
+
+/// No descriptor is free as SIGHUP comes: the move is made all the same, and the latest one counts.
+#[test]
+fn a_move_without_descriptors_is_made_later() {
+    let site = Site::start();
+    site.until_served_by_drains();
+    let (former, spent) = site.next_directory();
+    let (_next, config) = site.next_directory();
+    let pid = Pid::from_raw(site.daemon.child.id() as i32);
+    // Its standard streams are open: no number below the limit comes free.
+    const STREAMS: u64 = 3;
+    let none = Rlimit { current: Some(STREAMS), ..getrlimit(Resource::Nofile) };
+    let usual = prlimit(pid, Resource::Nofile, none).expect("fewer");
+    site.daemon.configure(&spent);
+    site.daemon.signal("HUP");
+    site.daemon.line("the old configuration stays");
+    site.daemon.configure(&config);
+    former.change(|now| now.silent = true);
+    site.directory.change(|now| now.silent = true);
+    site.daemon.signal("HUP");
+    prlimit(pid, Resource::Nofile, usual).expect("as before");
+    site.until_drained();
+}
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -5,7 +5,7 @@
 
 mod daemon;
 
-use daemon::{config, names, Daemon, Named, PATIENCE};
+use daemon::{config_told, Daemon, Named, PATIENCE};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -22,9 +22,9 @@
 
 /// Kills and starts the program so often while clients come without pause. From each start to its first yes.
 fn restart(times: usize, clients: u64) -> Vec<Duration> {
-    let (engine, names) = (Named::new("e1"), names());
+    let engine = Named::new("e1");
     let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
-    let config = config(&[("e1", engine.address())], names.local_addr().expect("bound"));
+    let config = config_told(&[("e1", engine.address())]);
     let config = config.replace("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{free}\""));
     let mut daemon = Daemon::start(&config, &[], None);
     let (stop, number) = (AtomicBool::new(false), AtomicU64::new(0));
