An old list of an earlier life leaves nothing behind: additions need a second answer, vanishing is undone

Change, all in `roster`: what a higher number adds counts once a second answer agrees (an old list may tell of engines that have gone since), and engines that an outvoted list left out are not remembered as departed.

--- a/src/roster.rs
+++ b/src/roster.rs
@@ -8,9 +8,11 @@
 //! - a higher number brings a newer list, and the held number with the held content confirms it;
 //! - any other answer to a later question contradicts the list. What it does not tell as ready is withheld at once;
 //!   after [`CONTRADICTIONS`] in a row without a confirmation between them the numbering has begun again;
+//! - an old list may carry a high number of an earlier numbering, so what a higher number adds counts from the
+//!   [`CONFIRMATIONS_TO_JOIN`]th answer that agrees, and what it leaves out at once;
 //! - an engine goes from ready to draining to gone. It comes back as a later start of its process. Without one it comes
-//!   back where one numbering tells of both, the drain and the return, and [`CONFIRMATIONS`] answers in a row agree: an
-//!   old list may carry a high number of an earlier numbering.
+//!   back where one numbering tells of both, the drain and the return, and [`CONFIRMATIONS_TO_RETURN`] answers in a row
+//!   agree.
 
 use crate::interface::{EngineEntry, EngineId, Lifecycle};
 use crate::lease::Lease;
@@ -21,8 +23,11 @@
 /// then answers with an old list confirms the held one in between.
 pub const CONTRADICTIONS: u32 = 5;
 
+/// Answers in a row that must tell of an engine that was not in the list.
+pub const CONFIRMATIONS_TO_JOIN: u32 = 2;
+
 /// Answers in a row that must tell of an engine's return where its process was not started anew.
-pub const CONFIRMATIONS: u32 = 5;
+pub const CONFIRMATIONS_TO_RETURN: u32 = 5;
 
 /// How long (s) a drain or a departure outweighs a new numbering that says otherwise: far beyond the age of any answer.
 const REMEMBERED: f64 = 60.0;
@@ -126,6 +131,14 @@
     at: f64,
 }
 
+/// An engine that is told as ready, and that does not serve yet.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    /// Answers in a row that told of it.
+    confirmations: u32,
+    needed: u32,
+}
+
 /// Whether a list is of the numbering that the held one has.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Numbering {
@@ -146,8 +159,10 @@
     /// Since when an engine in `held` has drained.
     draining: BTreeMap<EngineId, f64>,
     departed: BTreeMap<EngineId, Departure>,
-    /// Engines that are told to be back, and how many answers in a row said so.
-    returning: BTreeMap<EngineId, u32>,
+    /// Engines that are told to have joined, or to be back.
+    candidates: BTreeMap<EngineId, Candidate>,
+    /// Engines that were ready until the latest list left them out, and no other answer agreed yet.
+    vanished: BTreeSet<EngineId>,
     /// Engines that the latest contradiction does not tell as ready.
     withheld: BTreeSet<EngineId>,
     contradiction: Contradiction,
@@ -164,7 +179,8 @@
             held: Members::default(),
             draining: BTreeMap::new(),
             departed: BTreeMap::new(),
-            returning: BTreeMap::new(),
+            candidates: BTreeMap::new(),
+            vanished: BTreeSet::new(),
             withheld: BTreeSet::new(),
             contradiction: Contradiction::default(),
         };
@@ -219,6 +235,7 @@
             return Verdict::Overtaken;
         }
         if ahead == 0 && same(&self.said, &list.members) {
+            self.vanished.clear();
             self.settle(asked);
             return Verdict::Confirmed;
         }
@@ -231,8 +248,12 @@
             self.contradiction.asked = asked;
             self.contradiction.count += 1;
         }
-        self.returning.values_mut().for_each(|count| *count = 0);
+        self.candidates.values_mut().for_each(|candidate| candidate.confirmations = 0);
         if self.contradiction.count >= CONTRADICTIONS {
+            // The held list was an old one, and what it alone left out has never been away.
+            for id in std::mem::take(&mut self.vanished) {
+                self.departed.remove(&id);
+            }
             return self.begin_numbering(now, asked, list);
         }
         let ready = |m: &&Member| m.entry.lifecycle == Lifecycle::Ready;
@@ -258,15 +279,17 @@
         self.lease.confirm(asked);
         self.withheld.clear();
         self.contradiction = Contradiction::default();
-        self.returning.values_mut().for_each(|count| *count += 1);
-        let back: Vec<EngineId> = self
-            .returning
-            .iter()
-            .filter(|(_, count)| **count >= CONFIRMATIONS)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in back {
-            self.returning.remove(&id);
+        self.admit();
+    }
+
+    /// An answer agreed with the list that is held: lets in the candidates that have been told often enough.
+    fn admit(&mut self) {
+        self.candidates.values_mut().for_each(|candidate| candidate.confirmations += 1);
+        let often = |candidate: &Candidate| candidate.confirmations >= candidate.needed;
+        let admitted = self.candidates.iter().filter(|(_, candidate)| often(candidate));
+        let admitted: Vec<EngineId> = admitted.map(|(id, _)| id.clone()).collect();
+        for id in admitted {
+            self.candidates.remove(&id);
             self.draining.remove(&id);
             self.departed.remove(&id);
             self.held.change(self.said.get(&id).cloned().into_iter().collect());
@@ -276,7 +299,9 @@
     /// Takes a complete list into what is believed, each engine by its life cycle.
     fn take(&mut self, now: f64, list: Vec<Member>, numbering: Numbering) {
         self.departed.retain(|_, departure| now - departure.at < REMEMBERED);
-        self.expect_returns(&list, numbering);
+        self.find_candidates(&list, numbering);
+        self.vanished.clear();
+        let before = self.held.clone();
         let believed = list.iter().filter_map(|told| self.believe(now, told)).collect();
         self.said.replace(list);
         let changes = self.held.replace(believed);
@@ -285,28 +310,52 @@
             match entry.lifecycle {
                 Lifecycle::Ready => drop(self.departed.remove(&entry.id)),
                 Lifecycle::Draining => drop(self.draining.insert(entry.id, now)),
-                Lifecycle::Gone => self.depart(now, entry),
+                Lifecycle::Gone => {
+                    let ready = |held: &Member| held.entry.lifecycle == Lifecycle::Ready;
+                    if before.get(&entry.id).is_some_and(ready) {
+                        self.vanished.insert(entry.id.clone());
+                    }
+                    self.depart(now, entry);
+                }
             }
         }
     }
 
-    /// Which engines the list tells to be back that its numbering told to drain or to be gone before.
-    fn expect_returns(&mut self, list: &[Member], numbering: Numbering) {
+    /// Which engines the list tells as ready that its numbering told otherwise before. The first list of a numbering has
+    /// nothing before it.
+    fn find_candidates(&mut self, list: &[Member], numbering: Numbering) {
         let ready = |told: &&Member| told.entry.lifecycle == Lifecycle::Ready;
         let ready: BTreeMap<&EngineId, &Member> =
             list.iter().filter(ready).map(|m| (&m.entry.id, m)).collect();
-        self.returning.retain(|id, _| numbering == Numbering::Same && ready.contains_key(id));
-        if numbering == Numbering::New {
+        self.candidates.retain(|id, _| numbering == Numbering::Same && ready.contains_key(id));
+        if numbering == Numbering::New || self.held.is_empty() {
             return;
         }
         for (id, told) in ready {
-            let drains = self.held.get(id).is_some_and(|held| held.entry.lifecycle != Lifecycle::Ready);
-            if self.changed(told) && (drains || self.departed.contains_key(id)) {
-                self.returning.insert(id.clone(), 0);
+            if let Some(needed) = self.confirmations_needed(told) {
+                self.candidates.entry(id.clone()).or_insert(Candidate { confirmations: 0, needed });
             }
         }
     }
 
+    /// How many answers must tell that an engine is ready; none where one is enough, or where none is.
+    fn confirmations_needed(&self, told: &Member) -> Option<u32> {
+        let id = &told.entry.id;
+        if let Some(departure) = self.departed.get(id) {
+            let needed = if told.entry.started > departure.started {
+                CONFIRMATIONS_TO_JOIN
+            } else {
+                CONFIRMATIONS_TO_RETURN
+            };
+            return self.changed(told).then_some(needed);
+        }
+        let Some(held) = self.held.get(id) else { return Some(CONFIRMATIONS_TO_JOIN) };
+        let returns = held.entry.lifecycle == Lifecycle::Draining
+            && told.entry.started <= held.entry.started
+            && self.changed(told);
+        returns.then_some(CONFIRMATIONS_TO_RETURN)
+    }
+
     /// An engine as it is believed after a list told this of it; none where it stays gone.
     fn believe(&self, now: f64, told: &Member) -> Option<Member> {
         let id = &told.entry.id;
@@ -315,6 +364,9 @@
         if told.entry.lifecycle != Lifecycle::Ready {
             return Some(told.clone());
         }
+        if held.is_none() && self.candidates.contains_key(id) {
+            return None;
+        }
         if let Some(departure) = self.departed.get(id) {
             return restarted(departure.started).then(|| told.clone());
         }
--- a/tests/list_lease.rs
+++ b/tests/list_lease.rs
@@ -141,16 +141,19 @@
     site.until_drained();
 }
 
-/// The same where an answer of the former life has the id of a question that waits: its list is held for a moment, with its
-/// high number, until the directory's own answers outvote it.
+/// The same where the directory itself answers the questions of the new life with an old list, under the number that it had
+/// in the life before: it is held for a moment, until the answers proper outvote it.
 #[test]
 fn an_answer_that_brings_a_false_number_is_outvoted() {
-    let site = Site::start();
+    let mut site = Site::start();
     site.directory.change(|now| now.serial = 9);
     until("a list of number 9 went out", || (site.directory.answers().len() > 5).then_some(()));
     let high = site.directory.answers().pop().expect("some went out");
-    site.directory.change(|now| now.serial = 1);
-    site.directory.change(|now| now.ahead_as_answer = vec![high]);
+    site.directory.change(|now| {
+        now.serial = 1;
+        now.ahead_as_answer = vec![high];
+    });
+    site.daemon = site.daemon.again();
     site.until_served_by_drains();
     site.directory.change(|now| now.ahead_as_answer.clear());
     site.drain();
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -3,7 +3,9 @@
 
 use dahliaspoke::interface::{EngineEntry, Lifecycle};
 use dahliaspoke::lease::{Lease, TOLD_AFTER};
-use dahliaspoke::roster::{List, Member, Members, Roster, Verdict, CONFIRMATIONS, CONTRADICTIONS};
+use dahliaspoke::roster::{
+    List, Member, Members, Roster, Verdict, CONFIRMATIONS_TO_JOIN, CONFIRMATIONS_TO_RETURN, CONTRADICTIONS,
+};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
@@ -169,7 +171,7 @@
     assert_eq!([held.is("e1"), held.is("e2")], [Lifecycle::Ready, Lifecycle::Ready], "later starts");
     held.answer(list(2, &[member("e1", Lifecycle::Draining, Some(9.0))]));
     let back = list(3, &[again, ready("e2")]);
-    for _ in 1..CONFIRMATIONS {
+    for _ in 1..CONFIRMATIONS_TO_RETURN {
         held.answer(back.clone());
         assert_eq!([held.is("e1"), held.is("e2")], [Lifecycle::Draining, Lifecycle::Gone], "not sure yet");
     }
@@ -188,6 +190,42 @@
     assert_eq!(held.is("e1"), Lifecycle::Ready);
 }
 
+/// A number says nothing of what it adds: that may be a list of an earlier life, whose engines have gone since.
+#[test]
+fn what_a_list_adds_counts_once_a_second_answer_agrees() {
+    let mut held = Held::new();
+    let three = list(6, &[ready("e1"), ready("e2"), ready("e3")]);
+    for _ in 1..CONFIRMATIONS_TO_JOIN {
+        held.answer(three.clone());
+        assert!(!held.states.contains_key("e3"));
+    }
+    held.answer(three);
+    assert_eq!(held.is("e3"), Lifecycle::Ready);
+}
+
+/// Right after a start the first answer is an old list, under the high number that it had in the life before: of e2 it knows
+/// no drain, of e3 nothing yet, and e0 has gone since.
+#[test]
+fn an_old_list_of_an_earlier_life_is_outvoted_and_leaves_nothing_behind() {
+    let mut members = Members::default();
+    members.change(vec![ready("e1"), drains("e2"), ready("e3")]);
+    let mut held = Held::new();
+    held.roster = Roster::new(0.0, GRACE, 1, members);
+    assert_eq!(held.answer(list(9, &[ready("e0"), ready("e1"), ready("e2")])), Verdict::Newer);
+    let truth = list(1, &[ready("e1"), drains("e2"), ready("e3")]);
+    for count in 1..CONTRADICTIONS {
+        assert_eq!(held.answer(truth.clone()), Verdict::Contradicts(count));
+    }
+    assert_eq!(held.answer(truth), Verdict::Renumbered);
+    assert!(!held.states.contains_key("e0"), "it never served");
+    assert_eq!(held.is("e3"), Lifecycle::Ready, "it was never away");
+    assert_eq!(held.roster.number(), Some(1));
+    // e2 is as the configuration told it: draining all the time.
+    assert_ne!(held.states.get("e2"), Some(&Lifecycle::Gone));
+    assert_eq!(held.answer(list(2, &[ready("e1"), ready("e3")])), Verdict::Newer);
+    assert_eq!(held.is("e2"), Lifecycle::Gone);
+}
+
 /// A directory that loses, delays, reorders, repeats and spoils its answers, restarts its numbers, and lies now and then with
 /// an old list. Whatever it does: an engine that an answer told to drain serves no more, unless it was started anew; and the
 /// lease never outlives the latest question that was answered.
