--- a/src/roster.rs
+++ b/src/roster.rs
@@ -9,7 +9,7 @@
 //! - any other answer to a later question contradicts the list. What it does not tell as ready is withheld at once;
 //!   after [`CONTRADICTIONS`] in a row without a confirmation between them the numbering has begun again;
 //! - an old list may carry a high number of an earlier numbering, so what a higher number adds counts from the
-//!   [`CONFIRMATIONS_TO_JOIN`]th answer that agrees, and what it leaves out at once;
+//!   [`CONFIRMATIONS_TO_JOIN`]th answer that agrees (at once, where nothing else is ready), and what it leaves out at once;
 //! - an engine goes from ready to draining to gone. It comes back as a later start of its process. Without one it comes
 //!   back where one numbering tells of both, the drain and the return, and [`CONFIRMATIONS_TO_RETURN`] answers in a row
 //!   agree.
@@ -319,6 +319,16 @@
                 }
             }
         }
+        self.hurry_candidates();
+    }
+
+    /// Where nothing else is ready, engines that join need not wait for a second answer: a replacement of all at once.
+    fn hurry_candidates(&mut self) {
+        if self.held.0.values().any(|member| member.entry.lifecycle == Lifecycle::Ready) {
+            return;
+        }
+        let joining = self.candidates.values_mut().filter(|c| c.needed == CONFIRMATIONS_TO_JOIN);
+        joining.for_each(|candidate| candidate.confirmations = candidate.needed);
     }
 
     /// Which engines the list tells as ready that its numbering told otherwise before. The first list of a numbering has
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -203,6 +203,17 @@
     assert_eq!(held.is("e3"), Lifecycle::Ready);
 }
 
+/// All engines are replaced at once: the new ones serve with the same answer.
+#[test]
+fn what_joins_serves_at_once_where_nothing_else_is_ready() {
+    let mut held = Held::new();
+    held.answer(list(6, &[drains("e1"), ready("e3")]));
+    assert_eq!(
+        [held.is("e1"), held.is("e2"), held.is("e3")],
+        [Lifecycle::Draining, Lifecycle::Gone, Lifecycle::Ready]
+    );
+}
+
 /// Right after a start the first answer is an old list, under the high number that it had in the life before: of e2 it knows
 /// no drain, of e3 nothing yet, and e0 has gone since.
 #[test]
