--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -52,6 +52,7 @@
             let mut connection = Connection::open(front).unwrap_or_else(|| could_not_run("no connection"));
             let id = format!("{:016x}", 0xaa00 + key);
             let head = format!("POST /invoke/lookup HTTP/1.1\r\nX-Job-Id: {id}\r\nX-Allow-Ms: 2400\r\nX-Team: umkm-batik\r\nX-Size-Ms: 100.0\r\nX-Est-Mb: 20");
+            run.record.line(&format!("client sends {id}, a look-up"));
             let status = connection.call(&head, "SELECT state, at, note FROM parcels_7.status WHERE tag = '3f9c'");
             run.record.line(&format!("client has {id}: {status:?}"));
             if status != Some(200) {
