Loads of one key wait for each other in both processes of an upgrade

What callers saw: during an upgrade a load of an ordered class started before the load of its key ahead of it had ended, one in each process (rule order). Both were answered with 200.

Change: a request of an ordered class also needs the lock of its key among the processes that share $TMPDIR. Each process takes a ticket when it receives the request, by locking one byte of $TMPDIR/order.lock; the lowest valid ticket of a key holds the lock, so the order of arrival holds in both directions. The kernel releases the locks of a process however it ends; the tickets of one that is stuck expire with the deadlines of their requests. The policy decides when a request runs and when its lock is released (after the pause of its key).

--- a/crates/simulator/src/world/coordinators.rs
+++ b/crates/simulator/src/world/coordinators.rs
@@ -50,7 +50,7 @@
                 let at = self.now + micros(after).max(1);
                 self.queue.push(at, ModelEvent::PolicyTimer { coordinator, incarnation, token });
             }
-            Action::Subscribe | Action::Log(_) => {}
+            Action::Subscribe | Action::ReleaseOrderLock { .. } | Action::Log(_) => {}
         }
     }
 
--- a/examples/dispatcher.rs
+++ b/examples/dispatcher.rs
@@ -110,6 +110,7 @@
             Action::Reject { id, retry_after } => self.answer(id, Answer::Rejected(retry_after)),
             Action::Fail { id } => self.answer(id, Answer::Failed),
             Action::SetTerms { id, memory, rank } => self.set_terms(id, Terms { memory, rank }),
+            Action::ReleaseOrderLock { .. } => {} // only with `OrderLock`s, which this example does not use
             Action::SetTimer { after, token } => {
                 self.timers.push(Timer { expires_at: self.now + after, token });
             }
--- a/src/bin/dahliaspoke-simhost/wire.rs
+++ b/src/bin/dahliaspoke-simhost/wire.rs
@@ -129,8 +129,9 @@
     Ok(Some(report))
 }
 
-fn action(instance_id: u64, action: Action) -> Value {
-    match action {
+/// The message for an action; `None` for actions that the wire does not have, as no instance shares its keys.
+fn action(instance_id: u64, action: Action) -> Option<Value> {
+    Some(match action {
         Action::Send { id, engine, timeout, .. } => json!(["place", instance_id, &*id, &*engine, timeout]),
         Action::Cancel { id, attempt } => json!(["recall", instance_id, &*id, attempt]),
         Action::Reject { id, retry_after } => json!(["reject", instance_id, &*id, retry_after]),
@@ -141,7 +142,8 @@
         Action::SetTimer { after, token } => json!(["arm", instance_id, after, token]),
         Action::Subscribe => json!(["keepInformed", instance_id, true]),
         Action::Log(text) => json!(["log", instance_id, text]),
-    }
+        Action::ReleaseOrderLock { .. } => return None,
+    })
 }
 
 impl Instance {
@@ -172,6 +174,7 @@
             memory: row.optional(8, Value::as_f64, "a number")?.filter(|mb| *mb > 0.0),
             tables: row.optional(9, Value::as_i64, "a whole number")?.unwrap_or(-1),
             uploading: false,
+            ..Query::default()
         })
     }
 
@@ -254,7 +257,7 @@
                     })?;
                     if let Some(event) = instance.event(&row, &self.slots)? {
                         instance.policy.handle(now, event, &mut actions);
-                        outbox.extend(actions.drain(..).map(|a| action(instance_id, a)));
+                        outbox.extend(actions.drain(..).filter_map(|a| action(instance_id, a)));
                     }
                 }
             }
--- a/src/core/actions.rs
+++ b/src/core/actions.rs
@@ -41,6 +41,7 @@
             }
             Action::Fail { id } => self.finish(now, &id, Answer::Failed, routes),
             Action::SetTerms { id, memory, rank } => self.set_terms(now, &id, memory, rank, routes),
+            Action::ReleaseOrderLock { id, not_before } => self.release_order_lock(now, &id, not_before),
             Action::SetTimer { after, token } => self.timers.set(now + after, TimerEvent::Policy(token)),
             Action::Subscribe => {} // the directory is polled anyway
             Action::Log(line) => tracing::info!(at = now, "{line}"),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,6 +12,7 @@
 mod counters;
 mod derived_classes;
 mod fixed_settings;
+mod order_locks;
 mod request;
 mod request_table;
 mod route;
@@ -27,9 +28,10 @@
 pub use trace::Trace;
 
 use crate::net::{Time, TimerQueue};
+use crate::order_lock::{ticket::Ticket, OrderLocks};
 use dahliaspoke::policy::{
-    Action, AttemptEnd, EngineEntry, EngineId, Event, ListScope, Outcome, Policy, Progress, Query, RequestId,
-    Settings,
+    Action, AttemptEnd, EngineEntry, EngineId, Event, ListScope, OrderLock, Outcome, Policy, Progress, Query,
+    RequestId, Settings,
 };
 use dahliaspoke_body_store::plan::BodyId;
 use derived_classes::DerivedClasses;
@@ -47,6 +49,10 @@
     Policy(u64),
     /// An attempt times out.
     AttemptDeadline(AttemptId),
+    /// Requests that wait for the lock of their key are checked.
+    OrderLockPoll,
+    /// The key is no longer paused, and its lock is released.
+    OrderLockRelease(Ticket),
 }
 
 /// The state of all requests, and the policy that decides on them.
@@ -57,6 +63,10 @@
     may_pass_through: bool,
     derived_classes: DerivedClasses,
     requests: RequestTable,
+    /// The locks of order keys among the processes of an upgrade.
+    order_locks: OrderLocks,
+    /// Whether [`TimerEvent::OrderLockPoll`] is set.
+    polls_order_locks: bool,
     timers: TimerQueue<TimerEvent>,
     /// Events that the policy has not handled yet.
     events: VecDeque<Event>,
@@ -72,7 +82,13 @@
 impl Core {
     /// Creates a core without engines. `seed` is the seed of the policy's random numbers;
     /// `may_pass_through`: whether bodies may be passed through instead of being stored.
-    pub fn new(mut settings: Settings, seed: u64, may_pass_through: bool, trace: Trace) -> Self {
+    pub fn new(
+        mut settings: Settings,
+        seed: u64,
+        may_pass_through: bool,
+        order_locks: OrderLocks,
+        trace: Trace,
+    ) -> Self {
         let answers = vec![Answers::default(); settings.classes.len()];
         let fixed_settings = FixedSettings::of(&settings);
         let derived_classes = DerivedClasses::append_to(&mut settings, may_pass_through);
@@ -82,6 +98,8 @@
             may_pass_through,
             derived_classes,
             requests: RequestTable::default(),
+            order_locks,
+            polls_order_locks: false,
             timers: TimerQueue::default(),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -192,6 +210,8 @@
             match event {
                 TimerEvent::Policy(token) => self.feed(now, Event::Timer(token), routes),
                 TimerEvent::AttemptDeadline(attempt) => self.on_attempt_deadline(now, attempt, routes),
+                TimerEvent::OrderLockPoll => self.poll_order_locks(now, routes),
+                TimerEvent::OrderLockRelease(ticket) => self.order_locks.release(ticket),
             }
         }
     }
@@ -206,7 +226,8 @@
             routes[request.route].listener.answer(now, &request.id, Answer::Failed);
             return;
         }
-        let query = self.query(now, &request);
+        let mut query = self.query(now, &request);
+        query.order_lock = self.acquire_order_lock(now, &query);
         self.requests.insert(request.id.clone(), RequestState::new(request));
         self.feed(now, Event::Query(query), routes);
     }
@@ -223,6 +244,7 @@
             memory: request.estimated_memory,
             tables: request.table_group,
             uploading: request.uploading,
+            order_lock: OrderLock::NotShared,
         }
     }
 
--- a/src/daemon/startup.rs
+++ b/src/daemon/startup.rs
@@ -25,6 +25,7 @@
 use crate::listener::mysql::{MysqlListener, MysqlListenerOptions};
 use crate::mysql::{self, config::Mysql};
 use crate::net::{inherited_listener, Clock, Poller, SuspendDetector, Time, Token};
+use crate::order_lock::OrderLocks;
 use crate::store::{self, LoopContext, Store};
 use crate::upstream::mysql::MysqlUpstream;
 use crate::upstream::resp::RespUpstream;
@@ -240,7 +241,9 @@
         let OpenHandlers { handlers, address } = resources.open_handlers(&mut config)?;
         let Resources { poller, limits, body_store, .. } = resources;
         let class_names = class_names(&config.settings);
-        let core = Core::new(config.settings, config.seed, body_store.is_some(), trace);
+        let shares_listener = config.inherited_listener.is_some();
+        let order_locks = if shares_listener { OrderLocks::open() } else { OrderLocks::unshared() };
+        let core = Core::new(config.settings, config.seed, body_store.is_some(), order_locks, trace);
         let mut daemon = Self {
             clock,
             suspend_detector: SuspendDetector::new(now),
@@ -252,7 +255,7 @@
             endpoints: KnownEndpoints::default(),
             maintenance: Maintenance::open(now),
             reload: ReloadState::Idle,
-            shares_listener: config.inherited_listener.is_some(),
+            shares_listener,
             shutdown: ShutdownState::Serving,
         };
         daemon.install_value_check();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,7 +65,7 @@
 //! // A query arrives and is sent to it.
 //! let query = Query {
 //!     id: "q1".into(), class: 0, tenant: None, key: None, time_left: 3.0, work: Some(100.0), memory: None,
-//!     tables: 0, uploading: false,
+//!     tables: 0, uploading: false, order_lock: OrderLock::NotShared,
 //! };
 //! actions.clear();
 //! policy.handle(0.1, Event::Query(query), &mut actions);
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,6 +15,7 @@
 mod log;
 mod mysql;
 mod net;
+mod order_lock;
 mod shared_file;
 mod store;
 mod upstream;
--- a/src/policy/action.rs
+++ b/src/policy/action.rs
@@ -45,6 +45,14 @@
         /// Priority, 0 to 3; 3 is the most urgent.
         rank: u8,
     },
+    /// Release the lock on the key of a request, or stop waiting for it. Only for requests whose key is
+    /// shared with other processes ([`OrderLock`](super::OrderLock)).
+    ReleaseOrderLock {
+        /// The request.
+        id: RequestId,
+        /// Earliest time of the release (seconds on the caller's clock); it may have passed.
+        not_before: f64,
+    },
     /// Set a timer, which leads to an [`Event::Timer`](super::Event::Timer).
     SetTimer {
         /// Delay until it expires (seconds).
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -55,8 +55,8 @@
         }
         let class = &self.settings.classes[request.query.class];
         if let Some(queue) = self.order.queue_of(request, class) {
-            if !queue.admits(now, number, !request.attempts.is_empty()) {
-                let ahead = queue.ahead_of(number) as f64;
+            if !queue.admits(now, number, request) {
+                let ahead = queue.ahead_of(number, request.query.order_lock) as f64;
                 let usual = self.costs.usual_service_time(&self.settings, request.query.class);
                 // A request that cannot be served in time behind the others is answered at once.
                 if request.deadline - now < usual * (ahead + 1.0) {
@@ -147,7 +147,7 @@
             }
         }
         if !request.in_flight() {
-            self.order.remove(request, number);
+            self.leave_order(number, out);
             self.requests.remove(number);
         }
     }
--- a/src/policy/event.rs
+++ b/src/policy/event.rs
@@ -95,6 +95,18 @@
     }
 }
 
+/// State of the lock that a request needs on its key among the processes that serve the same clients.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum OrderLock {
+    /// No other process serves the same clients, or the request is not ordered.
+    #[default]
+    NotShared,
+    /// Requests in other processes come first.
+    Waiting,
+    /// The request may run as far as other processes are concerned.
+    Held,
+}
+
 /// A query of a client.
 #[derive(Clone, Debug, Default)]
 pub struct Query {
@@ -106,6 +118,8 @@
     pub tenant: Option<usize>,
     /// Key of requests that run in order.
     pub key: Option<Arc<str>>,
+    /// State of the lock on its key.
+    pub order_lock: OrderLock,
     /// Time until the client gives up (seconds).
     pub time_left: f64,
     /// Estimated work (ms of one thread), if known.
@@ -181,6 +195,11 @@
         /// What it reported.
         progress: Progress,
     },
+    /// A request that waited for the lock on its key holds it now.
+    OrderLockAcquired {
+        /// The request.
+        id: RequestId,
+    },
     /// The client has disconnected: no answer is needed any more.
     ClientGone {
         /// The request.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -168,6 +168,7 @@
             Event::Progress { id, attempt, progress } => {
                 self.on_progress(now, &id, AttemptProgress { attempt, progress }, out);
             }
+            Event::OrderLockAcquired { id } => self.on_order_lock_acquired(now, &id),
             Event::ClientGone { id } => {
                 if let Some(number) = self.requests.number_of(&id) {
                     self.close(number, out);
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -15,8 +15,6 @@
 const ABANDONED_WORK_DELAYS: f64 = 2.0;
 /// Weight of an outcome in the recent utilization of cores (share): about seven outcomes.
 const UTILIZATION_WEIGHT: f64 = 0.15;
-/// Ticks that an order key is paused beyond the settle time: events of one tick arrive in any order.
-const SETTLE_TICKS: f64 = 2.0;
 /// Lower limit on service times that delays are compared with (seconds).
 const MIN_COMPARED_SERVICE_TIME_S: f64 = 1e-4;
 
@@ -103,8 +101,7 @@
         request.finished |= ended.finished;
         ended.work = ended.work.filter(|work| *work <= max_rate * request.query.time_left);
         if matches!(ended.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
-            let pause = self.settings.order_settle + SETTLE_TICKS * self.settings.tick;
-            self.order.pause(request, now + pause);
+            self.pause_key(now, number);
         }
         Some(delay)
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -178,6 +178,46 @@
     assert_eq!(sent_to(&h.wait(0.3)).len(), 1, "then the next request runs");
 }
 
+/// Guards against a request that overtakes one of its key in the other process of an upgrade.
+#[test]
+fn request_runs_only_with_the_lock_of_its_key_and_releases_it_once_it_cannot_run_any_more() {
+    let mut load = class("load", Idempotency::Never);
+    load.ordered = true;
+    let locked = |id: &str, order_lock| Query { order_lock, ..ordered(id, "k") };
+    let released = |actions: &[Action]| -> Vec<(String, f64)> {
+        let release = |action: &Action| match action {
+            Action::ReleaseOrderLock { id, not_before } => Some((id.to_string(), *not_before)),
+            _ => None,
+        };
+        actions.iter().filter_map(release).collect()
+    };
+    let mut h = Harness::new(settings(vec![load]), &["e1", "e2"]);
+    assert_eq!(sent_to(&h.query_with(locked("r1", OrderLock::Held))).len(), 1);
+    assert!(h.query_with(locked("r2", OrderLock::Waiting)).is_empty());
+    assert!(h.query_with(locked("r3", OrderLock::Waiting)).is_empty());
+    let end = h.end("r1", 0, Outcome::Ok);
+    assert_eq!(released(&end), [("r1".to_string(), 0.0)]);
+    assert!(sent_to(&end).is_empty() && sent_to(&h.wait(1.0)).is_empty(), "r2 does not have the lock");
+    assert!(sent_to(&h.event(Event::OrderLockAcquired { id: "r3".into() })).is_empty(), "r2 is first");
+    assert!(sent_to(&h.wait(1.0)).is_empty(), "r2 is first");
+    // The process that held the lock may have ended during an attempt: the key pauses.
+    assert!(sent_to(&h.event(Event::OrderLockAcquired { id: "r2".into() })).is_empty());
+    assert_eq!(sent_to(&h.wait(0.6)).len(), 1);
+    let end = h.end("r2", 0, Outcome::Reset);
+    let [(id, not_before)] = &released(&end)[..] else { panic!("one release, not {end:?}") };
+    let pause = 0.3 + 2.0 * 0.005;
+    assert!(id == "r2" && (not_before - (h.now + pause)).abs() < 1e-9, "{end:?}");
+    assert_eq!(sent_to(&h.wait(0.6)).len(), 1, "r3");
+    // One that still waits at its deadline is rejected, and one whose client goes ends without a word.
+    h.end("r3", 0, Outcome::Ok);
+    h.query_with(locked("r4", OrderLock::Waiting));
+    h.query_with(locked("r5", OrderLock::Waiting));
+    let end = h.event(Event::ClientGone { id: "r4".into() });
+    assert_eq!(released(&end).len(), 1);
+    let end = h.wait(10.0);
+    assert!(rejected(&end) && released(&end).len() == 1, "{end:?}");
+}
+
 #[test]
 fn queued_request_that_cannot_meet_its_deadline_is_rejected_at_once() {
     let mut load = class("load", Idempotency::Never);
