MySQL: an error that answers an execution never proves that nothing ran

What callers saw: a load without a key, which must not run twice, was executed on a second engine after the first one had shut down while it ran it (error 1053), and was answered OK; where no engine was left, the client was told that nothing had run (3168).

Cause: query_result took the codes 1040, 1053, 1203 and 1226 as proof (AttemptOutcome::Full). The same codes answer logins, new statements and running ones, and triggers and storage engines pass on any code.

Change: what was sent decides. After an execution these errors are AttemptOutcome::Error (may have run); after a preparation, which runs nothing, they are Full as before; at the login the connection closes with nothing of the execution written, as before. 3168 from an engine is no longer passed on to clients, to whom it means that nothing ran. Queries that may be repeated are still retried elsewhere.

--- a/src/upstream/mysql/connection.rs
+++ b/src/upstream/mysql/connection.rs
@@ -3,9 +3,9 @@
 use super::command;
 use super::large_command::{CommandOutput, LargeCommand, SendStatus};
 use super::prepared::{Preparation, PreparedStatements};
-use super::query_result::{outcome_of_result, QueryResult};
+use super::query_result::{outcome_of_execution, outcome_of_failed_preparation, QueryResult};
 use super::shared::Shared;
-use crate::core::{QueryPayload, ResultParts};
+use crate::core::{AttemptOutcome, QueryPayload};
 use crate::limits::MysqlLimits;
 use crate::mysql::packet::{self, Malformed};
 use crate::net::{BufferedStream, Connection, Flow, Time, Token};
@@ -147,7 +147,7 @@
             ConnectionState::Idle => Err(Malformed),
             ConnectionState::Preparing(preparation) => {
                 if preparation.is_unanswered() && payload.first() == Some(&packet::ERR) {
-                    return self.end_attempt(now, vec![payload], shared);
+                    return self.end_attempt(now, outcome_of_failed_preparation(payload), shared);
                 }
                 if let Some(number) = preparation.add(&payload)? {
                     self.end_preparation(number, &shared.limits.mysql);
@@ -155,7 +155,7 @@
                 Ok(())
             }
             ConnectionState::AwaitingResult(result) => match result.add(payload, &shared.limits.mysql)? {
-                Some(packets) => self.end_attempt(now, packets, shared),
+                Some(packets) => self.end_attempt(now, outcome_of_execution(packets), shared),
                 None => Ok(()),
             },
         }
@@ -169,13 +169,17 @@
         self.start_attempt(limits);
     }
 
-    /// The attempt has its result, and the connection becomes idle.
-    fn end_attempt(&mut self, now: Time, packets: ResultParts, shared: &mut Shared) -> Result<(), Malformed> {
+    /// The attempt has its outcome, and the connection becomes idle.
+    fn end_attempt(
+        &mut self,
+        now: Time,
+        outcome: Result<AttemptOutcome, Malformed>,
+        shared: &mut Shared,
+    ) -> Result<(), Malformed> {
         self.state = ConnectionState::Idle;
         self.idle_deadline = now + shared.limits.engines.idle_timeout;
         let running = self.running.take().ok_or(Malformed)?;
-        let outcome = outcome_of_result(packets)?;
-        shared.events.attempt_ended(&running.key.id, running.key.number, outcome);
+        shared.events.attempt_ended(&running.key.id, running.key.number, outcome?);
         Ok(())
     }
 
--- a/src/upstream/mysql/query_result.rs
+++ b/src/upstream/mysql/query_result.rs
@@ -6,13 +6,13 @@
 
 /// Number of EOF packets in a result set: one after the columns, one after the rows.
 const RESULT_SET_EOFS: u8 = 2;
-/// Errors with which an engine rejects a statement without running it: too many connections (in total or of
-/// one user), shutting down.
-const REJECT_ERRORS: [u16; 4] = [1040, 1053, 1203, 1226];
-/// Errors that depend on the engine's state at the time: locks, kills, limits of time and space, an unknown
-/// prepared statement.
-const ENGINE_ERRORS: [u16; 13] =
-    [1021, 1037, 1041, 1105, 1114, 1180, 1205, 1213, 1243, 1290, 1317, 1836, 3024];
+/// Errors of an engine that lacks capacity or shuts down: too many connections (in total or of one user), a
+/// limit of the account, the shutdown.
+const CAPACITY_ERRORS: [u16; 4] = [1040, 1053, 1203, 1226];
+/// Other errors that depend on the engine's state at the time: locks, kills, limits of time and space, an unknown
+/// prepared statement, and the one that our listener answers with if nothing ran.
+const ENGINE_ERRORS: [u16; 14] =
+    [1021, 1037, 1041, 1105, 1114, 1180, 1205, 1213, 1243, 1290, 1317, 1836, 3024, 3168];
 
 /// The packets of a result that have arrived so far.
 #[derive(Default)]
@@ -48,23 +48,60 @@
     }
 }
 
-/// The outcome of an attempt with these packets. Errors in the statement itself are its result, because
-/// another engine would return the same.
+/// What an error says about the engine or the statement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ErrorKind {
+    /// The engine lacks capacity or shuts down.
+    Capacity,
+    /// It depends on the engine's state at the time.
+    Engine,
+    /// The statement is wrong: another engine would return the same.
+    Statement,
+}
+
+impl ErrorKind {
+    /// The kind of the error in a packet; `None` if the packet has no error.
+    ///
+    /// # Errors
+    /// If the error has no code.
+    fn of_packet(packet: &[u8]) -> Result<Option<Self>, Malformed> {
+        if packet.first() != Some(&packet::ERR) {
+            return Ok(None);
+        }
+        let code = packet::error_code(packet)?;
+        Ok(Some(if CAPACITY_ERRORS.contains(&code) {
+            Self::Capacity
+        } else if ENGINE_ERRORS.contains(&code) {
+            Self::Engine
+        } else {
+            Self::Statement
+        }))
+    }
+}
+
+/// The outcome of an attempt whose execution ended with these packets. An error in the statement itself is its
+/// result. No other error proves that the statement never ran: an engine that shuts down ends running
+/// statements with the same error as new ones, and triggers and storage engines pass on errors of any code.
 ///
 /// # Errors
 /// If there is no packet, or the error has no code.
-pub fn outcome_of_result(packets: ResultParts) -> Result<AttemptOutcome, Malformed> {
+pub fn outcome_of_execution(packets: ResultParts) -> Result<AttemptOutcome, Malformed> {
     let last = packets.last().ok_or(Malformed)?;
-    if last.first() != Some(&packet::ERR) {
-        return Ok(AttemptOutcome::Served(packets));
-    }
-    let error = packet::error_code(last)?;
-    Ok(if REJECT_ERRORS.contains(&error) {
-        AttemptOutcome::Full
-    } else if ENGINE_ERRORS.contains(&error) {
-        AttemptOutcome::Error
-    } else {
-        AttemptOutcome::Served(packets)
+    Ok(match ErrorKind::of_packet(last)? {
+        Some(ErrorKind::Capacity | ErrorKind::Engine) => AttemptOutcome::Error,
+        Some(ErrorKind::Statement) | None => AttemptOutcome::Served(packets),
+    })
+}
+
+/// The outcome of an attempt whose statement could not be prepared, which runs nothing.
+///
+/// # Errors
+/// If the error has no code.
+pub fn outcome_of_failed_preparation(error: Vec<u8>) -> Result<AttemptOutcome, Malformed> {
+    Ok(match ErrorKind::of_packet(&error)? {
+        Some(ErrorKind::Capacity) => AttemptOutcome::Full,
+        Some(ErrorKind::Engine) => AttemptOutcome::Error,
+        Some(ErrorKind::Statement) | None => AttemptOutcome::Served(vec![error]),
     })
 }
 
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -8,7 +8,18 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
+
+/// A step that an engine can answer with an error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FailingStep {
+    /// The login; the engine then closes the connection.
+    Login,
+    /// The preparation of a statement.
+    Preparation,
+    /// An execution, after it has begun.
+    Execution,
+}
 
 /// How an engine responds to executions, and counters of its work.
 #[derive(Default)]
@@ -19,10 +30,21 @@
     dies: AtomicBool,
     /// Closes the connection instead of answering, for the next execution only.
     dies_once: AtomicBool,
+    /// Answers this step with the error of this code, each time.
+    error: Mutex<Option<(FailingStep, u16)>>,
     prepared: AtomicU32,
     executed: AtomicU32,
 }
 
+impl Behaviour {
+    /// The error packet for a step, if it fails.
+    fn error_at(&self, step: FailingStep) -> Option<Vec<u8>> {
+        let error = *self.error.lock().expect("not poisoned");
+        let (_, code) = error.filter(|(failing, _)| *failing == step)?;
+        Some([&[0xff], &code.to_le_bytes()[..], b"#HY000told to fail"].concat())
+    }
+}
+
 /// An engine with a `MySQL` port and a port for the platform's protocol.
 struct Engine {
     id: &'static str,
@@ -86,6 +108,11 @@
     stream.write_all(&out).ok()?;
     read_packet(&mut stream)?;
     out.clear();
+    if let Some(error) = behaviour.error_at(FailingStep::Login) {
+        packet(&mut out, 2, &error);
+        stream.write_all(&out).ok()?;
+        return None;
+    }
     packet(&mut out, 2, OK);
     stream.write_all(&out).ok()?;
     let mut long_data: Option<Vec<u8>> = None;
@@ -97,6 +124,11 @@
                 long_data.get_or_insert_default().extend_from_slice(&command[7..]);
                 continue;
             }
+            0x03 | 0x17 if behaviour.error_at(FailingStep::Execution).is_some() => {
+                behaviour.executed.fetch_add(1, Ordering::SeqCst);
+                let error = behaviour.error_at(FailingStep::Execution);
+                packet(&mut out, 1, &error.expect("checked above"));
+            }
             0x03 => {
                 behaviour.executed.fetch_add(1, Ordering::SeqCst);
                 let sum = crc32fast::hash(&command[1..]).to_string();
@@ -107,6 +139,11 @@
             }
             0x16 => {
                 behaviour.prepared.fetch_add(1, Ordering::SeqCst);
+                if let Some(error) = behaviour.error_at(FailingStep::Preparation) {
+                    packet(&mut out, 1, &error);
+                    stream.write_all(&out).ok()?;
+                    continue;
+                }
                 packet(&mut out, 1, &[0, 5, 0, 0, 0, 1, 0, 1, 0, 0, 0, 0]);
                 for (at, payload) in [column(), EOF.to_vec(), column(), EOF.to_vec()].iter().enumerate() {
                     packet(&mut out, 2 + at as u8, payload);
@@ -339,6 +376,65 @@
     assert_eq!(after, before + 1);
 }
 
+/// Errors that servers also answer logins with: too many connections, a shutdown, limits of an account.
+const CAPACITY_ERRORS: [u16; 4] = [1040, 1053, 1203, 1226];
+
+fn executions(engines: &[&Engine]) -> u32 {
+    engines.iter().map(|engine| engine.behaviour.executed.load(Ordering::SeqCst)).sum()
+}
+
+fn fail_at(engine: &Engine, error: Option<(FailingStep, u16)>) {
+    *engine.behaviour.error.lock().expect("not poisoned") = error;
+}
+
+/// Guards against a load that runs on two engines because the error that ended it on the first one was taken as proof
+/// that it never ran: a server that shuts down ends running statements with 1053.
+#[test]
+fn a_load_that_ends_with_an_error_is_not_executed_again() {
+    let (one, two) = (engine("e1"), engine("e2"));
+    let fixture = fixture(&[&one, &two], &[]);
+    let mut session = fixture.session();
+    let load = session.prep("INSERT INTO sales_17.orders SELECT ?").expect("prepared");
+    let lookup = session.prep("SELECT n FROM sales_17.orders WHERE n = ?").expect("prepared");
+    // 3168 is also how the listener tells clients that nothing ran.
+    for error in CAPACITY_ERRORS.into_iter().chain([3168]) {
+        fail_at(&one, Some((FailingStep::Execution, error)));
+        fail_at(&two, Some((FailingStep::Execution, error)));
+        let before = executions(&[&one, &two]);
+        let (number, state, _) = code(session.exec_first(&load, (1u64,)));
+        assert_eq!((number, state.as_str()), (1317, "70100"), "{error}");
+        let (number, ..) = code(session.query_first("INSERT INTO sales_17.orders SELECT 1"));
+        assert_eq!(number, 1317, "{error}");
+        assert_eq!(executions(&[&one, &two]), before + 2, "{error}");
+        // A query that may be repeated is.
+        fail_at(&two, None);
+        assert_eq!(session.exec_first(&lookup, (7u64,)).expect("served by the other"), Some(7), "{error}");
+    }
+}
+
+/// An error before the execution proves that nothing ran: the load is served by the other engine, and runs once.
+#[test]
+fn a_load_moves_on_after_an_error_before_its_execution() {
+    for (step, error) in [FailingStep::Login, FailingStep::Preparation]
+        .into_iter()
+        .flat_map(|step| CAPACITY_ERRORS.map(|error| (step, error)))
+    {
+        let (one, two) = (engine("e1"), engine("e2"));
+        fail_at(&one, Some((step, error)));
+        let fixture = fixture(&[&one, &two], &[]);
+        let mut session = fixture.session();
+        let load = session.prep("INSERT INTO sales_17.orders SELECT ?").expect("prepared");
+        for n in 0..6u64 {
+            assert_eq!(
+                session.exec_first(&load, (n,)).expect("served by the other"),
+                Some(n),
+                "{step:?}, {error}"
+            );
+        }
+        assert_eq!(executions(&[&one, &two]), 6, "{step:?}, {error}");
+    }
+}
+
 #[test]
 fn an_unanswered_execution_fails_at_the_deadline_of_its_hint() {
     let one = engine("e1");
