--- a/src/daemon/maintenance.rs
+++ b/src/daemon/maintenance.rs
@@ -29,9 +29,14 @@
 }
 
 impl Maintenance {
-    /// Starts from the state that an earlier process has stored in the file.
-    pub fn open(now: Time) -> Self {
-        Self { local: MaintenanceSet::open(), stored: BTreeSet::new(), poll_at: now }
+    /// Starts from the state that an earlier process has stored in the file, and from the store as it was opened:
+    /// a member's store has the state of its snapshot, which is not reported as a change.
+    pub fn open(now: Time, store: Option<&Store>) -> Self {
+        let stored = store.map(stored_engines).unwrap_or_default();
+        for engine in &stored {
+            tracing::info!(at = now, "engine {engine} is left out");
+        }
+        Self { local: MaintenanceSet::open(), stored, poll_at: now }
     }
 
     /// When the file is to be polled next.
--- a/src/daemon/startup.rs
+++ b/src/daemon/startup.rs
@@ -244,6 +244,7 @@
         let shares_listener = config.inherited_listener.is_some();
         let order_locks = if shares_listener { OrderLocks::open() } else { OrderLocks::unshared() };
         let core = Core::new(config.settings, config.seed, body_store.is_some(), order_locks, trace);
+        let maintenance = Maintenance::open(now, handlers.store.as_ref());
         let mut daemon = Self {
             clock,
             suspend_detector: SuspendDetector::new(now),
@@ -253,7 +254,7 @@
             class_names,
             handlers,
             endpoints: KnownEndpoints::default(),
-            maintenance: Maintenance::open(now),
+            maintenance,
             reload: ReloadState::Idle,
             shares_listener,
             shutdown: ShutdownState::Serving,
--- a/tests/agreement_load.rs
+++ b/tests/agreement_load.rs
@@ -136,6 +136,52 @@
     assert!(changes > 3);
 }
 
+/// Guards against a member that returns with its disk and sends to an engine in maintenance: the entry had become part of
+/// its snapshot, and only entries after the snapshot were applied to the coordinator.
+#[test]
+fn a_returning_member_keeps_the_maintenance_in_its_snapshot() {
+    /// Writes that lead to a snapshot at each member: 1 MB of entries do.
+    const LARGE_WRITES: u64 = 12;
+    let engines = StubEngines::start(2);
+    let engine_addresses: Vec<(&str, SocketAddr)> =
+        engines.list.iter().map(|(id, at)| (id.as_str(), *at)).collect();
+    let config =
+        |at: usize| daemon::config_with_directory(&engine_addresses).replace("\"n1\"", &format!("\"c{at}\""));
+    let mut fleet = start_with(3, 3, config);
+    set(&mut fleet, "1", "maintenance/e0", "disk swap");
+    let text = "x".repeat(100_000);
+    for n in 0..LARGE_WRITES {
+        set(&mut fleet, &(2 + n).to_string(), "notes", &text);
+    }
+    for at in 0..3 {
+        wait_until_caught_up(&mut fleet, at);
+        fleet.processes[at].kill();
+        fleet.start_process(at, None);
+        wait_until_caught_up(&mut fleet, at);
+        let unavailable = || statistics(fleet.addresses[at]["console"]).contains("members_unavailable=1\n");
+        let (audit, before) = (QueryAudit::default(), engines.connections(0));
+        for n in 0..30 {
+            let status =
+                audit.send(fleet.addresses[at]["http"], "lookup", Repeats::Any, (at as u64) << 32 | n);
+            assert_eq!(status, Some(200));
+        }
+        assert_eq!(engines.connections(0), before, "c{at} sent to e0");
+        assert!(unavailable(), "c{at} does not avoid e0");
+    }
+    // It still follows changes: the operator's call back reaches members that have returned.
+    until("the maintenance ends", || {
+        let leader = leader(&mut fleet)?;
+        request(fleet.addresses[leader]["store"], &["DEL", "maintenance/e0"])?
+            .starts_with("+OK")
+            .then_some(())
+    });
+    for at in 0..3 {
+        until(&format!("c{at} uses e0 again"), || {
+            statistics(fleet.addresses[at]["console"]).contains("members_unavailable=0\n").then_some(())
+        });
+    }
+}
+
 /// While engines fail, reset connections and are full, members of the store are killed and settings change, each query has
 /// one answer, and a query that may have run is repeated only as its class allows: a load without a key never is.
 #[test]
