A coordinator that starts waits for the store before it sends requests

What callers saw: requests went to engines that the store keeps in maintenance (rule drain), from a coordinator that had just returned and had not heard the store yet: a fraction of a second, or as long as it is cut off.

Deployments without a store are not affected.

--- a/crates/raft/src/raft/mod.rs
+++ b/crates/raft/src/raft/mod.rs
@@ -203,7 +203,8 @@
     }
 
     /// Whether an entry of the current term is committed, as far as this member knows.
-    fn has_committed_in_term(&self) -> bool {
+    #[must_use]
+    pub fn has_committed_in_term(&self) -> bool {
         self.log.term(self.commit) == Some(self.hard_state.term)
     }
 }
--- a/src/daemon/endpoint_updates.rs
+++ b/src/daemon/endpoint_updates.rs
@@ -79,15 +79,21 @@
     }
 
     /// Checks the lease on the endpoint set. Once it has expired, upstreams start no attempts, and the core
-    /// treats all engines as draining until discovery has confirmed a set.
+    /// treats all engines as draining until discovery has confirmed a set. After a start there is no lease
+    /// before the store is up to date.
     pub(super) fn check_lease(&mut self, now: Time) {
-        let until = self.handlers.discovery.lease_expires_at();
+        let awaits_store = self.awaits_store(now);
+        let until = if awaits_store { now } else { self.handlers.discovery.lease_expires_at() };
         self.handlers.routes.set_lease_end(until);
         let expired = until <= now;
         if expired == std::mem::replace(&mut self.endpoints.lease_expired, expired) {
             return;
         }
-        let state = if expired { "is too old: no attempt starts" } else { "is valid again" };
+        let state = match expired {
+            true if awaits_store => "waits for the store: no attempt starts",
+            true => "is too old: no attempt starts",
+            false => "is valid again",
+        };
         tracing::info!(at = now, "the list of engines {state}");
         self.distribute_endpoints(now, now, ListScope::Changes, self.endpoints.all());
     }
--- a/src/daemon/event_loop.rs
+++ b/src/daemon/event_loop.rs
@@ -54,6 +54,7 @@
             self.core.next_deadline(),
             self.shutdown.next_deadline(),
             Some(self.maintenance.next_deadline()),
+            self.store_sync.next_deadline(),
             Some(lease_end).filter(|_| !self.endpoints.is_lease_expired()),
             self.reload.next_deadline(),
         ];
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,7 +5,7 @@
 //!   [`event_loop`] runs them;
 //! - [`dispatch`] forwards events between listeners, core and upstreams, which [`routes`] groups;
 //! - [`endpoint_updates`], [`store_updates`], [`maintenance`], [`reload`] and [`signals`] apply external
-//!   changes;
+//!   changes; [`store_sync`] makes attempts wait for the store after a start;
 //! - [`admin_commands`] and [`statistics`] answer operators; [`shutdown`] stops the daemon.
 //!
 //! One iteration of the event loop:
@@ -35,6 +35,7 @@
 mod signals;
 mod startup;
 mod statistics;
+mod store_sync;
 mod store_updates;
 
 pub use error::DaemonError;
@@ -49,6 +50,7 @@
 use shutdown::ShutdownState;
 use std::rc::Rc;
 use std::sync::Arc;
+use store_sync::StoreSync;
 
 /// The coordinator process: all of its components, and the state that belongs to none of them.
 pub struct Daemon {
@@ -62,6 +64,7 @@
     handlers: Handlers,
     endpoints: KnownEndpoints,
     maintenance: Maintenance,
+    store_sync: StoreSync,
     reload: ReloadState,
     /// The listening socket for clients is inherited from the platform, and an upgrade runs two processes
     /// that share it.
--- a/src/daemon/startup.rs
+++ b/src/daemon/startup.rs
@@ -11,6 +11,7 @@
 use super::routes::{MysqlRoute, Routes, HTTP_ROUTE, MYSQL_ROUTE};
 use super::shutdown::ShutdownState;
 use super::signals::Signals;
+use super::store_sync::StoreSync;
 use super::{Daemon, DaemonError};
 use crate::admin::AdminInterface;
 use crate::body_store::{self, BodyStoreFile};
@@ -245,6 +246,7 @@
         let order_locks = if shares_listener { OrderLocks::open() } else { OrderLocks::unshared() };
         let core = Core::new(config.settings, config.seed, body_store.is_some(), order_locks, trace);
         let maintenance = Maintenance::open(now, handlers.store.as_ref());
+        let store_sync = StoreSync::new(now, handlers.store.as_ref());
         let mut daemon = Self {
             clock,
             suspend_detector: SuspendDetector::new(now),
@@ -255,6 +257,7 @@
             handlers,
             endpoints: KnownEndpoints::default(),
             maintenance,
+            store_sync,
             reload: ReloadState::Idle,
             shares_listener,
             shutdown: ShutdownState::Serving,
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -106,6 +106,15 @@
         }
     }
 
+    /// Whether this daemon's copy has all changes that the leader had committed when it was last heard, not
+    /// long ago. A member of no store has nothing to wait for.
+    pub fn is_current(&self, now: Time) -> bool {
+        match &self.role {
+            Role::Member(member) => member.replica().is_current(),
+            Role::Watcher(watcher) => watcher.view().is_current(now),
+        }
+    }
+
     /// A key's value in this daemon's copy of the store.
     pub fn get(&self, key: &str) -> Option<&str> {
         self.value(key).map(|value| &*value.text)
--- a/src/store/replica/mod.rs
+++ b/src/store/replica/mod.rs
@@ -12,7 +12,7 @@
 use crate::failpoints;
 use crate::net::{Time, Token};
 use dahliaspoke_raft::disk::{DiskLog, Folder};
-use dahliaspoke_raft::message::Message;
+use dahliaspoke_raft::message::{Message, MessageBody};
 use dahliaspoke_raft::raft::{Event, Options, Raft};
 use dahliaspoke_raft::state_machine::{Command, KeyChange, StateMachine};
 use dahliaspoke_raft::writer::{LogWriter, WriteResult};
@@ -51,6 +51,8 @@
     pub identified: BTreeMap<String, Hello>,
     /// Why this member has stopped participating, if it has.
     pub failure: Option<ReplicaFailure>,
+    /// The leader's commit index when it was last heard; `None` before that.
+    leader_commit: Option<Index>,
     writer: LogWriter,
     pending: PendingCalls,
     /// The learner to promote to a voter once it has enough entries.
@@ -93,6 +95,7 @@
             hello,
             identified: BTreeMap::new(),
             failure: None,
+            leader_commit: None,
             writer,
             pending: PendingCalls::default(),
             learner_to_promote: None,
@@ -122,6 +125,19 @@
         self.raft.time_since_contact(micros(now)) / 1000
     }
 
+    /// Whether the state machine has all entries that the leader had committed when it was last heard. A member
+    /// of no store has nothing to wait for.
+    pub fn is_current(&self) -> bool {
+        if self.raft.members().is_empty() {
+            return true;
+        }
+        // A new leader does not know what is committed before an entry of its own term is.
+        let own_commit = self.raft.has_committed_in_term().then_some(self.raft.commit());
+        let commit = if self.raft.leads() { own_commit } else { self.leader_commit };
+        let has_leader = self.raft.leader().is_some();
+        has_leader && commit.is_some_and(|commit| self.state_machine.applied() >= commit)
+    }
+
     /// Name and address of the leader, or a text for operators if none is known.
     pub fn leader_description(&self) -> String {
         let leader = self.raft.leader().and_then(|id| self.raft.members().get(&id));
@@ -142,7 +158,15 @@
     /// Handles a message from another member.
     pub fn on_message(&mut self, now: Time, message: Message) {
         failpoints::reach("store.received");
+        let commit = match &message.body {
+            MessageBody::Append(append) => Some(append.commit),
+            _ => None,
+        };
+        let sender = message.from;
         self.handle(now, Event::Message(message));
+        if self.raft.leader() == Some(sender) {
+            self.leader_commit = commit.or(self.leader_commit);
+        }
     }
 
     /// Handles the log writer's results.
--- a/src/store/watcher/view.rs
+++ b/src/store/watcher/view.rs
@@ -7,6 +7,9 @@
 use dahliaspoke_raft::Index;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+/// A copy that was confirmed within this time (s) is current; members report their progress twice a second.
+const MAX_CURRENT_AGE: Time = 1.0;
+
 /// A watcher's copy of the store, built from watch events.
 #[derive(Default)]
 pub struct View {
@@ -41,6 +44,11 @@
         Freshness { version: self.version, age: self.as_of.map(|as_of| (now - as_of).max(0.0)) }
     }
 
+    /// Whether the copy was up to date a moment ago.
+    pub fn is_current(&self, now: Time) -> bool {
+        self.as_of.is_some_and(|as_of| now - as_of < MAX_CURRENT_AGE)
+    }
+
     /// The next changed key.
     pub fn next_changed_key(&mut self) -> Option<String> {
         self.changed_keys.pop_front()
--- a/tests/agreement_load.rs
+++ b/tests/agreement_load.rs
@@ -182,6 +182,36 @@
     }
 }
 
+/// Guards against a coordinator that returns, as a member or as a watcher, and sends to an engine in maintenance until it has
+/// heard the store: requests are rejected meanwhile, which is harmless.
+#[test]
+fn a_returning_coordinator_sends_nothing_before_it_knows_the_maintenance() {
+    let engines = StubEngines::start(2);
+    let engine_addresses: Vec<(&str, SocketAddr)> =
+        engines.list.iter().map(|(id, at)| (id.as_str(), *at)).collect();
+    let config =
+        |at: usize| daemon::config_with_directory(&engine_addresses).replace("\"n1\"", &format!("\"c{at}\""));
+    let mut fleet = start_with(3, 4, config);
+    set(&mut fleet, "1", "maintenance/e0", "disk swap");
+    for round in 0..3u64 {
+        for at in 0..4 {
+            fleet.processes[at].kill();
+            let (audit, before) = (QueryAudit::default(), engines.connections(0));
+            fleet.start_process(at, None);
+            let (mut number, http) = (0, fleet.addresses[at]["http"]);
+            until(&format!("c{at} serves again"), || {
+                number += 1;
+                let id = round << 48 | (at as u64) << 32 | number;
+                (audit.send(http, "lookup", Repeats::Any, id) == Some(200)).then_some(())
+            });
+            for n in 0..20 {
+                audit.send(http, "lookup", Repeats::Any, round << 48 | (at as u64) << 32 | 1 << 20 | n);
+            }
+            assert_eq!(engines.connections(0), before, "c{at} sent to e0 in round {round}");
+        }
+    }
+}
+
 /// While engines fail, reset connections and are full, members of the store are killed and settings change, each query has
 /// one answer, and a query that may have run is repeated only as its class allows: a load without a key never is.
 #[test]
