The old process of an upgrade stays while its keys must be locked

What callers saw: nothing yet; found on the paths related to the overlap of loads during an upgrade. After a load that may still be running on its engine, its key is paused (orderSettle). A process without clients ended at once, its locks with it, and the next load of the key started in the other process within the pause.

Change: a process that shuts down does not exit while it holds an order lock, until its time to write answers is over. Only processes with an inherited socket have such locks.

--- a/src/core/order_locks.rs
+++ b/src/core/order_locks.rs
@@ -8,6 +8,11 @@
 const POLL_INTERVAL: Time = 0.01;
 
 impl Core {
+    /// Whether an attempt of an ordered request may still be running, so that its key must stay locked.
+    pub fn holds_order_locks(&self) -> bool {
+        !self.order_locks.is_unused()
+    }
+
     /// Queues a query for the lock of its key, if it is ordered. Returns the state of the lock.
     pub(super) fn acquire_order_lock(&mut self, now: Time, query: &Query) -> OrderLock {
         let Some(lock_time) = self.policy.order_lock_time(query) else { return OrderLock::NotShared };
--- a/src/daemon/shutdown.rs
+++ b/src/daemon/shutdown.rs
@@ -93,9 +93,9 @@
         self.core.shut_down(now, &mut self.handlers.routes.for_core());
     }
 
-    /// Whether the process may exit: every answer has been written and no input from clients is unread, or the
-    /// deadline for writing the answers has passed. New connections are accepted until the end: one that only the
-    /// kernel has accepted would be lost.
+    /// Whether the process may exit: every answer has been written, no input from clients is unread and no order
+    /// key needs to stay locked, or the deadline for writing the answers has passed. New connections are accepted
+    /// until the end: one that only the kernel has accepted would be lost.
     ///
     /// # Errors
     /// If epoll fails.
@@ -105,7 +105,8 @@
             ShutdownState::Flushing { until } if self.clock.now() >= until => return Ok(true),
             ShutdownState::Closing { .. } | ShutdownState::Flushing { .. } => {}
         }
-        if self.core.open_requests() > 0 || !self.handlers.routes.is_idle() {
+        let is_busy = self.core.open_requests() > 0 || self.core.holds_order_locks();
+        if is_busy || !self.handlers.routes.is_idle() {
             return Ok(false);
         }
         failpoints::reach("shutdown.last");
--- a/src/order_lock/mod.rs
+++ b/src/order_lock/mod.rs
@@ -94,6 +94,11 @@
         Self { queue: queue.ok(), ..Self::unshared() }
     }
 
+    /// Whether this process holds no lock and waits for none.
+    pub fn is_unused(&self) -> bool {
+        self.queue.as_ref().is_none_or(TicketQueue::is_unused)
+    }
+
     /// Queues a request for the lock of its key, which it needs for `validity` seconds at most, and returns
     /// the state of its lock.
     pub fn acquire(&mut self, id: &RequestId, key: &str, validity: f64) -> OrderLock {
--- a/src/order_lock/queue.rs
+++ b/src/order_lock/queue.rs
@@ -73,6 +73,11 @@
         self.file.unlock(ticket.offset())
     }
 
+    /// Whether this process holds no ticket.
+    pub fn is_unused(&self) -> bool {
+        self.own.is_empty()
+    }
+
     /// Whether no valid ticket of another process comes before this one. Once true, it remains true.
     ///
     /// # Errors
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -5,7 +5,8 @@
 //!   bodies over 10 bytes; `inherits` passes it its listening socket; `patient` raises the connect timeout to
 //!   60 s, longer than any step waits; `brief` shortens the dedup window to 0.5 s; `traced` logs each step of
 //!   a request; `narrow` limits the data that a connection to an engine buffers unread to some KB; `few`
-//!   leaves it one connection to engines; `ordered` sends loads with the same key one after another; `teams`
+//!   leaves it one connection to engines; `ordered` sends loads with the same key one after another; `settles`
+//!   pauses their key for 3 s after a load that may still be running; `teams`
 //!   configures two tenants, north, and south with a quota of 0;
 //! - `again`: starts the program again in the same folder, and kills it before if it still runs; `beside`:
 //!   starts a second process in the same folder, on the same socket; the first is `old` from then on, as in
@@ -231,6 +232,9 @@
                 if options.contains(&"ordered") {
                     self.settings.push((r#""effect":"by_key""#, r#""effect":"by_key","inTurn":true"#));
                 }
+                if options.contains(&"settles") {
+                    self.settings.push((r#""drainGrace":1"#, r#""drainGrace":1,"orderSettle":3"#));
+                }
                 if options.contains(&"teams") {
                     let teams = r#""tenants":[{"name":"north","quotaPerS":50},{"name":"south","quotaPerS":0}],"zones""#;
                     self.settings.push((r#""zones""#, teams));
