--- a/tests/agreement_load.rs
+++ b/tests/agreement_load.rs
@@ -76,6 +76,16 @@
     (0..count).map(|n| start(n).expect("a port")).collect()
 }
 
+/// The ids and addresses of stub engines.
+fn stub_addresses(engines: &StubEngines) -> Vec<(&str, SocketAddr)> {
+    engines.list.iter().map(|(id, address)| (id.as_str(), *address)).collect()
+}
+
+/// The configuration of the coordinator at a position. Its directory lists these engines.
+fn coordinator_config<'a>(engines: &'a [(&'a str, SocketAddr)]) -> impl Fn(usize) -> String + 'a {
+    |at| daemon::config_with_directory(engines).replace("\"n1\"", &format!("\"c{at}\""))
+}
+
 /// Sends queries to coordinators for `seconds` at a rate of `rate` per second.
 fn load(to: Vec<SocketAddr>, seconds: f64, rate: f64) -> Summary {
     let class =
@@ -98,8 +108,7 @@
     let endpoints = |fleet: &Fleet| -> Vec<SocketAddr> {
         fleet.addresses[3..].iter().map(|endpoints| endpoints["http"]).collect()
     };
-    let config =
-        |at: usize| daemon::config_with_directory(&engine_addresses).replace("\"n1\"", &format!("\"c{at}\""));
+    let config = coordinator_config(&engine_addresses);
     let plain = Fleet::start(program(), 9, "http", "store", |at, _| vec![("config.json".into(), config(at))]);
     let without_store = load(endpoints(&plain), seconds, 200.0);
     drop(plain);
@@ -143,10 +152,8 @@
     /// Writes that lead to a snapshot at each member: 1 MB of entries do.
     const LARGE_WRITES: u64 = 12;
     let engines = StubEngines::start(2);
-    let engine_addresses: Vec<(&str, SocketAddr)> =
-        engines.list.iter().map(|(id, at)| (id.as_str(), *at)).collect();
-    let config =
-        |at: usize| daemon::config_with_directory(&engine_addresses).replace("\"n1\"", &format!("\"c{at}\""));
+    let addresses = stub_addresses(&engines);
+    let config = coordinator_config(&addresses);
     let mut fleet = start_with(3, 3, config);
     set(&mut fleet, "1", "maintenance/e0", "disk swap");
     let text = "x".repeat(100_000);
@@ -187,10 +194,8 @@
 #[test]
 fn a_returning_coordinator_sends_nothing_before_it_knows_the_maintenance() {
     let engines = StubEngines::start(2);
-    let engine_addresses: Vec<(&str, SocketAddr)> =
-        engines.list.iter().map(|(id, at)| (id.as_str(), *at)).collect();
-    let config =
-        |at: usize| daemon::config_with_directory(&engine_addresses).replace("\"n1\"", &format!("\"c{at}\""));
+    let addresses = stub_addresses(&engines);
+    let config = coordinator_config(&addresses);
     let mut fleet = start_with(3, 4, config);
     set(&mut fleet, "1", "maintenance/e0", "disk swap");
     for round in 0..3u64 {
@@ -218,10 +223,8 @@
 fn each_query_has_one_answer_and_is_repeated_only_as_its_class_allows() {
     use dahliaspoke_test_harness::queries::EngineBehaviour::{Fail, Full, Reset, Serve};
     let engines = StubEngines::start(4);
-    let engine_addresses: Vec<(&str, SocketAddr)> =
-        engines.list.iter().map(|(id, at)| (id.as_str(), *at)).collect();
-    let config =
-        |at: usize| daemon::config_with_directory(&engine_addresses).replace("\"n1\"", &format!("\"c{at}\""));
+    let addresses = stub_addresses(&engines);
+    let config = coordinator_config(&addresses);
     let mut fleet = start_with(3, 6, config);
     let endpoints: Vec<SocketAddr> = fleet.addresses[3..].iter().map(|endpoints| endpoints["http"]).collect();
     let (audit, stop) = (QueryAudit::default(), AtomicBool::new(false));
