--- a/src/core/order_locks.rs
+++ b/src/core/order_locks.rs
@@ -1,4 +1,4 @@
-//! Locks of order keys: acquired when a request arrives, and released when the policy says so.
+//! Locks of order keys: acquired when a request arrives, and released by an action of the policy.
 
 use super::{Core, Route, TimerEvent};
 use crate::net::Time;
--- a/src/daemon/store_sync.rs
+++ b/src/daemon/store_sync.rs
@@ -52,7 +52,7 @@
             tracing::warn!(
                 at = now,
                 part = "store",
-                "not heard since the start: engines in maintenance may get requests"
+                "no contact since the start: engines in maintenance may get requests"
             );
         }
         self.apply_store_changes(now);
--- a/src/order_lock/mod.rs
+++ b/src/order_lock/mod.rs
@@ -5,7 +5,7 @@
 //! among both. The processes queue for it with tickets in a file of the folder for temporary files, in the
 //! order in which they received their requests:
 //!
-//! - a process that ends in any way loses its tickets;
+//! - a process that ends, for whatever reason, loses its tickets;
 //! - the tickets of a process that is stuck expire with the deadlines of their requests, since engines stop
 //!   working on a request at its deadline;
 //! - a ticket that cannot be taken because a system call failed is taken later: the request waits.
@@ -28,7 +28,7 @@
 /// Name of the lock file.
 const FILE_NAME: &str = "order.lock";
 
-/// Where a request is on its way to the lock of its key.
+/// The progress of a request towards the lock of its key.
 #[derive(Clone, Copy, Debug)]
 enum LockState {
     /// It has no ticket yet.
@@ -164,7 +164,7 @@
 
     /// Releases the lock that a ticket holds or waits for.
     pub fn release(&mut self, ticket: Ticket) {
-        let result = self.queue.as_mut().map_or(Ok(()), |queue| queue.put_back(ticket));
+        let result = self.queue.as_mut().map_or(Ok(()), |queue| queue.release(ticket));
         if let Err(error) = result {
             tracing::warn!("cannot unlock an order key: {error}: it is locked until its request's deadline");
         }
--- a/src/order_lock/queue.rs
+++ b/src/order_lock/queue.rs
@@ -68,7 +68,7 @@
     ///
     /// # Errors
     /// If the system call fails. The ticket then remains until it expires or the process ends.
-    pub fn put_back(&mut self, ticket: Ticket) -> io::Result<()> {
+    pub fn release(&mut self, ticket: Ticket) -> io::Result<()> {
         self.own.remove(&ticket);
         self.file.unlock(ticket.offset())
     }
--- a/src/order_lock/ticket.rs
+++ b/src/order_lock/ticket.rs
@@ -3,7 +3,7 @@
 //! | bits of the offset, from the highest | content |
 //! | --- | --- |
 //! | 20 | hash of the key |
-//! | 33 | when the ticket was taken, modulo 2^33 (10 ms of the monotonic clock) |
+//! | 33 | when the ticket was issued, modulo 2^33 (10 ms of the monotonic clock) |
 //! | 10 | how long it is valid, from 1 (0.25 s) |
 //!
 //! Each key so has a range of offsets, in which a later ticket has a higher offset. Keys with the same hash share
@@ -99,8 +99,8 @@
 
     /// Whether it is no longer valid: its process is stuck, as it would have returned it otherwise.
     pub fn is_expired(self, now: TicketTime) -> bool {
-        let taken_at = TicketTime((self.offset >> VALIDITY_BITS) & TIME_MASK);
+        let issued_at = TicketTime((self.offset >> VALIDITY_BITS) & TIME_MASK);
         let validity = (self.offset & MAX_VALIDITY) * TIME_UNITS_PER_VALIDITY_UNIT;
-        now.since(taken_at).is_some_and(|age| age > validity)
+        now.since(issued_at).is_some_and(|age| age > validity)
     }
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -106,8 +106,8 @@
         }
     }
 
-    /// Whether this daemon's copy has all changes that the leader had committed when it was last heard, not
-    /// long ago. A member of no store has nothing to wait for.
+    /// Whether this daemon's copy has all changes that the leader had committed at the last contact, a moment
+    /// ago. A member of no store has nothing to wait for.
     pub fn is_current(&self, now: Time) -> bool {
         match &self.role {
             Role::Member(member) => member.replica().is_current(),
--- a/src/store/replica/mod.rs
+++ b/src/store/replica/mod.rs
@@ -51,7 +51,7 @@
     pub identified: BTreeMap<String, Hello>,
     /// Why this member has stopped participating, if it has.
     pub failure: Option<ReplicaFailure>,
-    /// The leader's commit index when it was last heard; `None` before that.
+    /// The leader's commit index in its last message; `None` before the first one.
     leader_commit: Option<Index>,
     writer: LogWriter,
     pending: PendingCalls,
@@ -125,8 +125,8 @@
         self.raft.time_since_contact(micros(now)) / 1000
     }
 
-    /// Whether the state machine has all entries that the leader had committed when it was last heard. A member
-    /// of no store has nothing to wait for.
+    /// Whether the state machine has all entries that the leader had committed when it sent its last message. A
+    /// member of no store has nothing to wait for.
     pub fn is_current(&self) -> bool {
         if self.raft.members().is_empty() {
             return true;
--- a/tests/order_lock.rs
+++ b/tests/order_lock.rs
@@ -143,7 +143,7 @@
     assert!(other.is_first(running).expect("checked"), "the ticket is left behind");
     let late = slow.take(key, LONG).expect("a ticket");
     assert!(late > running && !slow.is_first(late).expect("checked"));
-    other.put_back(running).expect("put back");
+    other.release(running).expect("released");
     assert!(slow.is_first(late).expect("checked"));
 }
 
