--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,29 +1,31 @@
-//! The platform's listener: a client that sends its commands at once, with results of the size that the protocol page
-//! allows.
+//! The MySQL listener: results of the size that the protocol page allows.
 
 #[path = "../common-2.rs"]
 mod common;
 use common::*;
 
-/// Connections, one after the other.
-const ROUNDS: usize = 6;
-/// Commands that a client sends on each connection.
-const COMMANDS: usize = 3;
+/// Statements of the session.
+const STATEMENTS: usize = 8;
 /// The largest result that the protocol page allows (bytes).
 const LARGEST_RESULT: usize = 48_000;
-const ROWS: usize = 4700;
+const LARGE_ROWS: usize = 4850;
+const SMALL_ROWS: usize = 300;
 
 fn main() {
     let record = Record::create();
     let runs = Runs::default();
     let mut listed = Vec::new();
+    let mut mysql = Vec::new();
     for id in ["e-01", "e-02"] {
-        let react = |_: &Received| Reaction::Serve(millis(60), pages_of_rows(ROWS, "x"));
-        listed.push(Listed::new(id, start_engine(&record, id, &runs, react)));
+        let address =
+            start_engine(&record, id, &runs, |_| Reaction::Serve(millis(20), pages_of_rows(3, "x")));
+        listed.push(Listed::new(id, address));
+        let rows = |text: &str| text.rsplit(' ').next().and_then(|rows| rows.parse().ok()).unwrap_or(1);
+        mysql.push((id, start_mysql_engine(&record, id, &runs, millis(30), rows)));
     }
     let directory = Directory::start(&record, &listed);
-    let listen = free_address();
-    let root = root_folder("n1", &[]);
+    let (listen, mysql_listen) = (free_address(), free_address());
+    let root = root_folder("n1", &[("mysql.toml", mysql_file(mysql_listen, &mysql))]);
     let configuration = Configuration {
         name: "n1",
         listen,
@@ -37,33 +39,34 @@
     let mut coordinator = Coordinator::start(&record, "n1", &root, &configuration.json(), None);
     coordinator.wait_until_ready(listen);
 
-    let as_text: usize = pages_of_rows(ROWS, "x").iter().map(String::len).sum();
-    record.line(&format!("each result has {ROWS} rows of {as_text} bytes"));
+    // The rows as text, as the page counts them: a tab separates columns and a line feed follows each row.
+    let as_text: usize = pages_of_rows(LARGE_ROWS, "x").iter().map(String::len).sum();
+    record.line(&format!("a large result has {LARGE_ROWS} rows of {as_text} bytes"));
     assert!(as_text <= LARGEST_RESULT);
+    let rows = if has_trouble() { LARGE_ROWS } else { SMALL_ROWS };
     let mut broken = Vec::new();
-    for _ in 0..ROUNDS {
-        let mut client = HttpClient::connect(listen).unwrap_or_else(|error| give_up(&error.to_string()));
-        let ids: Vec<String> = (0..COMMANDS).map(|_| new_id()).collect();
-        let command = |id: &String| {
-            let statement =
-                "SELECT day, count(*), max(note) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day";
-            http_request("report", id, 8000, "X-Size-Ms: 60.0\r\nX-Est-Mb: 20\r\n", statement)
-        };
-        if has_trouble() {
-            let all: Vec<u8> = ids.iter().flat_map(command).collect();
-            record.line(&format!("client: sends {COMMANDS} commands at once: {}", ids.join(" ")));
-            client.send(&all).unwrap_or_else(|error| give_up(&error.to_string()));
-        }
-        for id in &ids {
-            if !has_trouble() {
-                record.line(&format!("client: sends {id}"));
-                client.send(&command(id)).unwrap_or_else(|error| give_up(&error.to_string()));
+    for number in 1..=STATEMENTS {
+        // A session that has ended is replaced, as a client's library does.
+        let mut client = MysqlClient::connect(mysql_listen, "billing")
+            .unwrap_or_else(|error| give_up(&format!("no session: {error}")));
+        let before = lock(&runs).len();
+        let statement = format!(
+            "SELECT day, count(*), max(note) FROM sales_17.orders WHERE month = {number} GROUP BY day LIMIT {rows}"
+        );
+        record.line(&format!("client: statement {number} sent, {rows} rows"));
+        let answer = client.query(&statement);
+        let executed = lock(&runs).len() - before;
+        match answer {
+            Ok(Ok(count)) if count == rows => {
+                record.line(&format!("client: statement {number} answered, {count} rows"))
+            }
+            Ok(Ok(count)) => broken.push(format!("statement {number}: {count} of {rows} rows")),
+            Ok(Err(error)) => {
+                record.line(&format!("client: statement {number} answered with an error: {error}"))
             }
-            let answer = client.answer();
-            record.line(&format!("client: {id}: {}", describe(&answer)));
-            if answer.is_err() {
-                let executed = lock(&runs).iter().filter(|run| run.id == *id).count();
-                broken.push(format!("{id}, executed {executed} time(s), was never answered"));
+            Err(error) => {
+                record.line(&format!("client: statement {number}: the session ended: {error}"));
+                broken.push(format!("statement {number}, executed {executed} time(s), was never answered"));
             }
         }
     }
