Review cases: wait for the ends of processes in one place, forget their ids then

Cause: a process that a case has waited for was signalled once more by its id at the end, when the id may belong to another process. Change: `Coordinator::wait_for_end` and `has_ended` forget the id; format.

--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -19,7 +19,8 @@
 
 /// Runs the operators' client of the store; the case cannot run if it fails.
 fn operate(record: &Record, store: &str, arguments: &[&str]) {
-    let output = Command::new("target/release/dahliaspoke-ctl").args(["--store", store]).args(arguments).output();
+    let output =
+        Command::new("target/release/dahliaspoke-ctl").args(["--store", store]).args(arguments).output();
     let output = output.unwrap_or_else(|error| give_up(&format!("dahliaspoke-ctl: {error}")));
     let text = String::from_utf8_lossy(&output.stdout).trim().to_string();
     record.line(&format!("operator: {}: {text}", arguments.join(" ")));
@@ -30,7 +31,13 @@
 
 fn send_lookup(record: &Record, listen: SocketAddr) -> bool {
     let id = new_id();
-    let request = http_request("lookup", &id, 2500, "X-Size-Ms: 20.0\r\n", "SELECT note FROM sales_17.orders WHERE id = 1");
+    let request = http_request(
+        "lookup",
+        &id,
+        2500,
+        "X-Size-Ms: 20.0\r\n",
+        "SELECT note FROM sales_17.orders WHERE id = 1",
+    );
     let answer = HttpClient::connect(listen).and_then(|mut client| {
         client.send(&request)?;
         client.answer()
@@ -45,7 +52,8 @@
     let runs = Runs::default();
     let mut listed = Vec::new();
     for id in ["e-01", "e-02", "e-03"] {
-        let address = start_engine(&record, id, &runs, |_| Reaction::Serve(millis(20), pages_of_rows(1, "x")));
+        let address =
+            start_engine(&record, id, &runs, |_| Reaction::Serve(millis(20), pages_of_rows(1, "x")));
         listed.push(Listed::new(id, address));
     }
     let directory = Directory::start(&record, &listed);
@@ -68,8 +76,10 @@
     let roots: Vec<_> = (0..MEMBERS)
         .map(|at| {
             let others = (0..MEMBERS).filter(|other| *other != at);
-            let peers: Vec<String> = others.map(|other| format!("{} = \"{}\"", name(other), store[other])).collect();
-            let file = format!("listen = \"{}\"\nfolder = \"store\"\n[peers]\n{}\n", store[at], peers.join("\n"));
+            let peers: Vec<String> =
+                others.map(|other| format!("{} = \"{}\"", name(other), store[other])).collect();
+            let file =
+                format!("listen = \"{}\"\nfolder = \"store\"\n[peers]\n{}\n", store[at], peers.join("\n"));
             root_folder(&name(at), &[("store.toml", file)])
         })
         .collect();
@@ -90,7 +100,7 @@
 
     if has_trouble() {
         processes[2].signal("KILL");
-        let _ = processes[2].child.wait();
+        processes[2].wait_for_end();
         pause(AWAY_MS);
         // It starts again from nothing: a coordinator has no disk that survives it.
         let removed = std::fs::remove_dir_all(roots[2].join("store"));
@@ -108,8 +118,11 @@
 
     record.line(&format!("c2 served {served} look-ups"));
     let limit = left_out + DRAIN_GRACE + TOLERANCE;
-    let late: Vec<f64> =
-        lock(&runs).iter().filter(|run| run.engine == "e-01" && run.begun > limit).map(|run| run.begun).collect();
+    let late: Vec<f64> = lock(&runs)
+        .iter()
+        .filter(|run| run.engine == "e-01" && run.begun > limit)
+        .map(|run| run.begun)
+        .collect();
     let mut broken = Vec::new();
     if let (Some(first), Some(last)) = (late.first(), late.last()) {
         broken.push(format!(
--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -246,7 +246,22 @@
 
     /// Whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
-        self.child.try_wait().map_or(true, |status| status.is_some())
+        let has_ended = self.child.try_wait().map_or(true, |status| status.is_some());
+        if has_ended {
+            self.forget();
+        }
+        has_ended
+    }
+
+    /// Waits for the end of the process.
+    pub fn wait_for_end(&mut self) {
+        let _ = self.child.wait();
+        self.forget();
+    }
+
+    /// The id may belong to another process from now on.
+    fn forget(&self) {
+        lock(&STARTED).retain(|id| *id != self.child.id());
     }
 }
 
