--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -5,7 +5,6 @@
 mod common;
 use common::*;
 use std::net::SocketAddr;
-use std::process::Command;
 
 /// The grace of a drain (s).
 const DRAIN_GRACE: f64 = 1.0;
@@ -17,18 +16,6 @@
 const WATCHED: f64 = 10.0;
 const MEMBERS: usize = 3;
 
-/// Runs the operators' client of the store; the case cannot run if it fails.
-fn operate(record: &Record, store: &str, arguments: &[&str]) {
-    let output =
-        Command::new("target/release/dahliaspoke-ctl").args(["--store", store]).args(arguments).output();
-    let output = output.unwrap_or_else(|error| give_up(&format!("dahliaspoke-ctl: {error}")));
-    let text = String::from_utf8_lossy(&output.stdout).trim().to_string();
-    record.line(&format!("operator: {}: {text}", arguments.join(" ")));
-    if !output.status.success() {
-        give_up(&format!("dahliaspoke-ctl: {}", String::from_utf8_lossy(&output.stderr)));
-    }
-}
-
 fn send_lookup(record: &Record, listen: SocketAddr) -> bool {
     let id = new_id();
     let request = http_request(
@@ -89,11 +76,10 @@
     for at in 0..MEMBERS {
         processes[at].wait_until_ready(listen[at]);
     }
-    let all = store.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
-    operate(&record, &store[0].to_string(), &["init"]);
-    operate(&record, &all, &["member", "add", "c1"]);
-    operate(&record, &all, &["member", "add", "c2"]);
-    operate(&record, &all, &["set", "maintenance/e-01", "it is restarted"]);
+    operate(&record, &store[..1], &["INIT"]);
+    add_member(&record, &store, "c1");
+    add_member(&record, &store, "c2");
+    operate(&record, &store, &["SET", "maintenance/e-01", "it is restarted"]);
     let left_out = record.now();
     processes[2].wait_for_line("engine e-01 is left out");
     pause(2000);
@@ -114,7 +100,7 @@
         served += u32::from(send_lookup(&record, listen[2]));
         pause(50);
     }
-    operate(&record, &all, &["get", "maintenance/e-01"]);
+    operate(&record, &store, &["GET", "maintenance/e-01"]);
 
     record.line(&format!("c2 served {served} look-ups"));
     let limit = left_out + DRAIN_GRACE + TOLERANCE;
--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -892,3 +892,69 @@
         addresses.join(", ")
     )
 }
+
+// The operators' client of the replicated store (docs/store.md), with the steps of `dahliaspoke-ctl`.
+
+/// Sends one command to one member of the store; returns its answer without RESP's framing.
+fn call_store(member: SocketAddr, words: &[&str]) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect_timeout(&member, millis(2000))?;
+    stream.set_read_timeout(Some(millis(2000)))?;
+    let words: Vec<&[u8]> = words.iter().map(|word| word.as_bytes()).collect();
+    stream.write_all(&encode_array(&words))?;
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    reader.read_line(&mut line)?;
+    let Some(length) = line.strip_prefix('$') else { return Ok(line.trim_end().to_string()) };
+    let Ok(length) = length.trim_end().parse::<usize>() else { return Ok("(no value)".to_string()) };
+    let mut text = vec![0; length + 2];
+    reader.read_exact(&mut text)?;
+    text.truncate(length);
+    Ok(String::from_utf8_lossy(&text).into_owned())
+}
+
+/// Carries out an operators' command, trying the members one after the other until the leader answers. A change that is
+/// sent again has the same session, so that it is applied once. The case cannot run if the command fails.
+pub fn operate(record: &Record, members: &[SocketAddr], words: &[&str]) {
+    static SESSIONS: AtomicU64 = AtomicU64::new(1);
+    let session = SESSIONS.fetch_add(1, Ordering::SeqCst).to_string();
+    let mut request = words.to_vec();
+    if matches!(words[0], "SET" | "DEL") {
+        request.extend(["SESSION", &session, "1"]);
+    }
+    let answer = wait_for(&words.join(" "), || {
+        let answer = members.iter().find_map(|member| {
+            let answer = call_store(*member, &request).ok()?;
+            let is_retried =
+                ["-LEADER", "-BUSY", "-LOST", "-UNKNOWN"].iter().any(|no| answer.starts_with(no));
+            (!is_retried).then_some(answer)
+        });
+        if answer.is_none() {
+            pause(100);
+        }
+        answer
+    });
+    record.line(&format!("operator: {}: {answer}", words.join(" ")));
+    if answer.starts_with('-') {
+        give_up(&format!("{}: {answer}", words.join(" ")));
+    }
+}
+
+/// Adds a member to the store, and waits until it votes and no change of the membership is under way.
+pub fn add_member(record: &Record, members: &[SocketAddr], name: &str) {
+    wait_for(&format!("{name} to vote"), || {
+        let statuses = members.iter().filter_map(|member| call_store(*member, &["STATUS"]).ok());
+        let status = statuses.filter(|status| status.contains("role=leader")).last()?;
+        let is_open =
+            |line: &str| line.starts_with(&format!("waits={name} ")) || line.starts_with("changing=");
+        let is_voter = |line: &str| line.starts_with(&format!("member={name} ")) && line.contains(" voter ");
+        if status.lines().any(is_voter) && !status.lines().any(is_open) {
+            return Some(());
+        }
+        for member in members {
+            let _ = call_store(*member, &["MEMBER", "ADD", name]);
+        }
+        pause(100);
+        None
+    });
+    record.line(&format!("operator: {name} is a member of the store"));
+}
