Review cases: wait for the processes that a case has killed at its end

Cause: a process could still be listed for a moment after the script had ended. Change: the end of a case waits for each process that it killed.

--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -115,13 +115,22 @@
 
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+extern "C" {
+    fn waitpid(process: i32, status: *mut i32, options: i32) -> i32;
+}
+
 /// The processes that this case started.
 pub struct Processes;
 
 impl Processes {
     fn end_all() {
-        for id in lock(&STARTED).drain(..) {
-            send_signal("KILL", id);
+        let started: Vec<u32> = lock(&STARTED).drain(..).collect();
+        for id in &started {
+            send_signal("KILL", *id);
+        }
+        for id in started {
+            // Sound: a process of this case is waited for, and its status is not asked for.
+            unsafe { waitpid(id as i32, std::ptr::null_mut(), 0) };
         }
         if let Some(folder) = lock(&FOLDER).take() {
             let _ = std::fs::remove_dir_all(folder);
