--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -25,6 +25,7 @@
         "X-Size-Ms: 20.0\r\n",
         "SELECT note FROM sales_17.orders WHERE id = 1",
     );
+    record.line(&format!("client: sends {id} to {listen}"));
     let answer = HttpClient::connect(listen).and_then(|mut client| {
         client.send(&request)?;
         client.answer()
