Answers of over 64 KB no longer close connections; requests sent at once take turns

Callers saw: a MySQL statement with a result of over 64 KB in packets was executed and its session closed without an answer, at every try; on HTTP, all requests sent at once behind such an answer were lost, and all of 250 sent at once (92 KB). Cause: the limits on unread answers and on buffered input closed the connection. The first counted an answer that had not been offered to the socket yet, the second requests that a client may send ahead. Change: both limits pause the connection. One buffered request per connection is handled in an iteration of the loop (listener::server::Turns); with over 64 KB unread, the next one waits for the client to read. Why it works: nothing that a client may do is answered by a close; a client that does not read is ended by the idle timeout (HTTP) or after 60 s (MySQL), and its end is noticed while it is paused.

--- a/src/limits/clients.rs
+++ b/src/limits/clients.rs
@@ -107,6 +107,9 @@
     pub max_sessions: usize,
     /// A session without an open request is closed after this time.
     pub session_idle_timeout: f64,
+    /// A session whose client reads none of its answers for this long, while it has sent further commands, is
+    /// closed.
+    pub write_timeout: f64,
     /// Maximum number of prepared statements of one session, and of one connection to an engine.
     pub max_statements: usize,
     /// Maximum number of packets in one result.
@@ -120,6 +123,7 @@
         Self {
             max_sessions: (machine.descriptors * SESSION_DESCRIPTOR_SHARE) as usize,
             session_idle_timeout: 28_800.0,
+            write_timeout: 60.0,
             max_statements: 256,
             max_result_packets: 65_536,
             max_result_bytes: 1 << 20,
--- a/src/listener/http/connection.rs
+++ b/src/listener/http/connection.rs
@@ -28,6 +28,10 @@
     Uploading(Box<Upload>),
     /// A request is open in the core.
     AwaitingAnswer(RequestId),
+    /// The next of several requests that were sent at once waits for its turn.
+    AwaitingTurn,
+    /// The next request waits until the client has read its earlier answers.
+    AwaitingReader,
 }
 
 /// A client's connection.
@@ -59,26 +63,40 @@
 
     fn deadline(&self) -> Option<Time> {
         let client_waits = match &self.state {
-            State::Idle | State::Receiving { .. } => false,
+            State::Idle | State::Receiving { .. } | State::AwaitingReader => false,
             State::Uploading(upload) => upload.is_client_waiting(),
-            State::AwaitingAnswer(_) => true,
+            State::AwaitingAnswer(_) | State::AwaitingTurn => true,
         };
         (!client_waits).then_some(self.deadline)
     }
 
-    /// Closes an idle connection. A client that has not completed its HTTP request receives an error first.
+    /// Closes a connection that is idle or whose client does not read its answers. A client that has not
+    /// completed its HTTP request receives an error first.
     fn on_deadline(&mut self, now: Time, shared: &mut Shared) -> Flow {
-        if self.stream.input.is_empty() && !self.is_uploading() {
+        let is_idle = self.stream.input.is_empty() && !self.is_uploading();
+        if is_idle || matches!(self.state, State::AwaitingReader) {
             return Flow::Close;
         }
         self.reject(now, status::REQUEST_TIMEOUT, shared)
     }
 
+    fn on_turn(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        if !matches!(self.state, State::AwaitingTurn) {
+            return Flow::Open;
+        }
+        if self.has_unread_answers(shared) {
+            self.state = State::AwaitingReader;
+            return Flow::Open;
+        }
+        self.state = State::Idle;
+        self.next_request(now, shared)
+    }
+
     /// A connection whose response is not completely written must not be evicted: a truncated response loses
     /// the request.
     fn eviction_rank(&self) -> Option<EvictionRank> {
-        let has_request = matches!(self.state, State::Uploading(_) | State::AwaitingAnswer(_));
-        if has_request || self.stream.queued() > 0 {
+        let is_ready = matches!(self.state, State::Idle | State::Receiving { .. });
+        if !is_ready || self.stream.queued() > 0 {
             return None;
         }
         Some(EvictionRank { has_sent_request: self.has_sent_request, idle_since: self.idle_since })
@@ -104,25 +122,29 @@
         match self.state {
             State::Idle | State::Receiving { .. } => self.next_request(now, shared),
             State::Uploading(_) => self.receive_body(now, shared),
-            State::AwaitingAnswer(_) => {
-                // Pipelined HTTP requests are buffered up to a limit.
-                let max_request_bytes =
-                    shared.state.limits.http.max_head_bytes + shared.state.limits.http.max_body_bytes;
-                if self.stream.input.len() > max_request_bytes {
-                    Flow::Close
-                } else {
-                    Flow::Open
-                }
-            }
+            State::AwaitingAnswer(_) | State::AwaitingTurn | State::AwaitingReader => Flow::Open,
         }
     }
 
-    fn writable(&mut self, _: Time, _: &mut Shared) -> Flow {
+    /// The client has read some of its answers.
+    fn writable(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        if matches!(self.state, State::Idle | State::AwaitingReader) {
+            self.deadline = now + shared.state.limits.clients.idle_timeout;
+        }
+        if matches!(self.state, State::AwaitingReader) && !self.has_unread_answers(shared) {
+            self.await_turn(now, shared);
+        }
         Flow::Open
     }
 
+    /// Requests that a client sends ahead of an answer stay in the socket, except for what one read returned.
     fn is_paused(&self) -> bool {
-        matches!(&self.state, State::Uploading(upload) if upload.is_client_waiting())
+        match &self.state {
+            State::Idle | State::Receiving { .. } => false,
+            State::Uploading(upload) => upload.is_client_waiting(),
+            State::AwaitingAnswer(_) => !self.stream.input.is_empty(),
+            State::AwaitingTurn | State::AwaitingReader => true,
+        }
     }
 
     fn closed(&mut self, _: Time, shared: &mut Shared) {
@@ -140,50 +162,63 @@
         self.become_idle(now, shared);
         self.keep_alive &= !body_is_arriving && !shared.state.shutting_down;
         self.stream.push(encode_answer(answer, self.keep_alive));
-        if self.keep_alive {
-            self.next_request(now, shared)
-        } else {
-            self.finish(now, shared)
+        if !self.keep_alive {
+            return self.finish(now, shared);
         }
+        self.await_turn_if_buffered(now, shared);
+        Flow::Open
     }
 
-    /// Handles HTTP requests until one needs the core or no complete one is left.
+    /// Handles the HTTP request at the start of the input, if it is complete. Those behind it wait for the
+    /// connection's next turn.
     fn next_request(&mut self, now: Time, shared: &mut Shared) -> Flow {
-        while self.is_ready_for_request() && !self.stream.input.is_empty() {
-            if self.stream.queued() > shared.state.limits.clients.max_unread_answer_bytes {
-                return Flow::Close;
+        let decoded = match codec::decode(&self.stream.input, &shared.state.limits) {
+            Ok(decoded) => decoded,
+            Err(HttpError(status)) => return self.reject(now, status, shared),
+        };
+        match decoded {
+            Decoded::Partial { expects_continue } => {
+                self.await_rest_of_request(now, expects_continue, shared);
+                Flow::Open
             }
-            let decoded = match codec::decode(&self.stream.input, &shared.state.limits) {
-                Ok(decoded) => decoded,
-                Err(HttpError(status)) => return self.reject(now, status, shared),
-            };
-            let flow = match decoded {
-                Decoded::Partial { expects_continue } => {
-                    self.await_rest_of_request(now, expects_continue, shared);
-                    return Flow::Open;
+            Decoded::Complete { request, length } => {
+                self.consume_request(&request, length, shared);
+                let flow = self.handle_request(now, &request, shared);
+                if flow == Flow::Open {
+                    self.await_turn_if_buffered(now, shared);
                 }
-                Decoded::Complete { request, length } => {
-                    self.consume_request(&request, length, shared);
-                    self.handle_request(now, &request, shared)
+                flow
+            }
+            Decoded::LargeBody { request, head_length, body_length, expects_continue } => {
+                self.consume_request(&request, head_length, shared);
+                let flow = self.handle_large_request(now, &request, body_length, shared);
+                if flow != Flow::Open {
+                    return flow;
                 }
-                Decoded::LargeBody { request, head_length, body_length, expects_continue } => {
-                    self.consume_request(&request, head_length, shared);
-                    let flow = self.handle_large_request(now, &request, body_length, shared);
-                    if flow != Flow::Open {
-                        return flow;
-                    }
-                    // The body store has reserved capacity for the body, so the client may send it.
-                    if expects_continue {
-                        self.stream.push(codec::CONTINUE.to_vec());
-                    }
-                    return self.receive_body(now, shared);
+                // The body store has reserved capacity for the body, so the client may send it.
+                if expects_continue {
+                    self.stream.push(codec::CONTINUE.to_vec());
                 }
-            };
-            if flow != Flow::Open {
-                return flow;
+                self.receive_body(now, shared)
             }
         }
-        Flow::Open
+    }
+
+    /// Waits for the next turn if input is buffered behind the request that was just answered.
+    fn await_turn_if_buffered(&mut self, now: Time, shared: &mut Shared) {
+        if self.is_ready_for_request() && !self.stream.input.is_empty() {
+            self.await_turn(now, shared);
+        }
+    }
+
+    fn await_turn(&mut self, now: Time, shared: &mut Shared) {
+        self.state = State::AwaitingTurn;
+        shared.state.request_turn(now, self.token);
+    }
+
+    /// Whether the client has left so many bytes of its answers unread that its next request must wait.
+    fn has_unread_answers(&self, shared: &Shared) -> bool {
+        self.stream.queued() > shared.state.limits.clients.max_unread_answer_bytes
     }
 
     fn is_ready_for_request(&self) -> bool {
--- a/src/listener/mysql/large/mod.rs
+++ b/src/listener/mysql/large/mod.rs
@@ -159,7 +159,8 @@
         shared.state.uploads.end();
         self.deadline = now + shared.state.limits.mysql.session_idle_timeout;
         let Destination::Request(incoming) = payload.destination else {
-            return self.next_packet(now, shared);
+            self.await_turn_if_buffered(now, shared);
+            return Flow::Open;
         };
         let IncomingRequest { body, mut request, timeout, values } = incoming;
         if let Some(mut values) = values {
--- a/src/listener/mysql/large/storing.rs
+++ b/src/listener/mysql/large/storing.rs
@@ -110,7 +110,8 @@
         shared.state.report_rejected(class);
         let rejected = Answer::Rejected(shared.state.limits.bodies.retry_after);
         self.send(self.next_sequence, &encode_answer(rejected, false));
-        self.next_packet(now, shared)
+        self.await_turn_if_buffered(now, shared);
+        Flow::Open
     }
 
     /// Rejects a request whose body was lost while it arrived. The rest of the payload is discarded. If the
--- a/src/listener/mysql/session.rs
+++ b/src/listener/mysql/session.rs
@@ -32,6 +32,10 @@
     Storing(PendingRequest),
     /// A request is open in the core.
     Running(RequestId),
+    /// The next of several commands that were sent at once waits for its turn.
+    AwaitingTurn,
+    /// The next command waits until the client has read the earlier answers.
+    AwaitingReader,
 }
 
 /// A client's session.
@@ -77,9 +81,12 @@
 
     fn deadline(&self) -> Option<Time> {
         let client_waits = match &self.state {
-            SessionState::Storing(_) | SessionState::Running(_) => true,
+            SessionState::Storing(_) | SessionState::Running(_) | SessionState::AwaitingTurn => true,
             SessionState::Receiving(payload) => payload.store_full,
-            SessionState::AwaitingLogin | SessionState::AwaitingAuthSwitch | SessionState::Idle => false,
+            SessionState::AwaitingLogin
+            | SessionState::AwaitingAuthSwitch
+            | SessionState::Idle
+            | SessionState::AwaitingReader => false,
         };
         (!client_waits).then_some(self.deadline)
     }
@@ -88,6 +95,19 @@
         Flow::Close
     }
 
+    fn on_turn(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        if !matches!(self.state, SessionState::AwaitingTurn) {
+            return Flow::Open;
+        }
+        if self.has_unread_answers(shared) {
+            self.state = SessionState::AwaitingReader;
+            self.deadline = now + shared.state.limits.mysql.write_timeout;
+            return Flow::Open;
+        }
+        self.state = SessionState::Idle;
+        self.next_packet(now, shared)
+    }
+
     /// Only a session that is not authenticated may be evicted: the client of an authenticated one relies on
     /// its prepared statements.
     fn eviction_rank(&self) -> Option<EvictionRank> {
@@ -114,25 +134,35 @@
     fn readable(&mut self, now: Time, shared: &mut Shared) -> Flow {
         match self.state {
             SessionState::Receiving(_) => self.receive_large(now, shared),
-            SessionState::Storing(_) | SessionState::Running(_) => {
-                // Pipelined commands are buffered up to a limit.
-                let max_input = 2 * shared.state.limits.http.max_body_bytes;
-                if self.stream.input.len() > max_input {
-                    Flow::Close
-                } else {
-                    Flow::Open
-                }
+            SessionState::AwaitingLogin | SessionState::AwaitingAuthSwitch | SessionState::Idle => {
+                self.next_packet(now, shared)
             }
-            _ => self.next_packet(now, shared),
+            SessionState::Storing(_)
+            | SessionState::Running(_)
+            | SessionState::AwaitingTurn
+            | SessionState::AwaitingReader => Flow::Open,
         }
     }
 
-    fn writable(&mut self, _: Time, _: &mut Shared) -> Flow {
+    /// The client has read some of its answers.
+    fn writable(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        if matches!(self.state, SessionState::AwaitingReader) {
+            self.deadline = now + shared.state.limits.mysql.write_timeout;
+            if !self.has_unread_answers(shared) {
+                self.await_turn(now, shared);
+            }
+        }
         Flow::Open
     }
 
+    /// Commands that a client sends ahead of an answer stay in the socket, except for what one read returned.
     fn is_paused(&self) -> bool {
-        matches!(&self.state, SessionState::Receiving(payload) if payload.store_full)
+        match &self.state {
+            SessionState::AwaitingLogin | SessionState::AwaitingAuthSwitch | SessionState::Idle => false,
+            SessionState::Receiving(payload) => payload.store_full,
+            SessionState::Storing(_) | SessionState::Running(_) => !self.stream.input.is_empty(),
+            SessionState::AwaitingTurn | SessionState::AwaitingReader => true,
+        }
     }
 
     fn closed(&mut self, _: Time, shared: &mut Shared) {
@@ -148,12 +178,21 @@
         !matches!(self.state, SessionState::AwaitingLogin | SessionState::AwaitingAuthSwitch)
     }
 
-    /// Whether the next packet may be read.
-    fn is_ready_for_packet(&self) -> bool {
-        matches!(
-            self.state,
-            SessionState::AwaitingLogin | SessionState::AwaitingAuthSwitch | SessionState::Idle
-        )
+    /// Whether the client has left so many bytes of its answers unread that its next command must wait.
+    fn has_unread_answers(&self, shared: &Shared) -> bool {
+        self.stream.queued() > shared.state.limits.clients.max_unread_answer_bytes
+    }
+
+    /// Lets the session handle its next command in its next turn, if input is buffered.
+    pub(super) fn await_turn_if_buffered(&mut self, now: Time, shared: &mut Shared) {
+        if matches!(self.state, SessionState::Idle) && !self.stream.input.is_empty() {
+            self.await_turn(now, shared);
+        }
+    }
+
+    fn await_turn(&mut self, now: Time, shared: &mut Shared) {
+        self.state = SessionState::AwaitingTurn;
+        shared.state.request_turn(now, self.token);
     }
 
     /// Queues payloads as packets, numbered from `sequence`.
@@ -173,7 +212,8 @@
         self.deadline = now + shared.state.limits.mysql.session_idle_timeout;
         let is_late = now + shared.state.limits.results.deadline_margin >= self.request_deadline;
         self.send(self.next_sequence, &encode_answer(answer, is_late));
-        self.next_packet(now, shared)
+        self.await_turn_if_buffered(now, shared);
+        Flow::Open
     }
 
     /// Submits a request. Its client waits for `timeout` seconds from `received_at`, at most
@@ -191,39 +231,38 @@
         shared.state.submit(self.token, request);
     }
 
-    /// Handles packets until one needs the core or the body store, or no complete packet is left.
-    pub(super) fn next_packet(&mut self, now: Time, shared: &mut Shared) -> Flow {
-        while self.is_ready_for_packet() {
-            if self.stream.queued() > shared.state.limits.clients.max_unread_answer_bytes {
-                return Flow::Close;
+    /// Handles the packet at the start of the input, if it is complete. Commands behind it wait for the
+    /// session's next turn.
+    fn next_packet(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        self.next_sequence = FIRST_ANSWER_SEQUENCE;
+        if self.is_authenticated() {
+            if let Some(header) = self.large_packet_header(shared) {
+                return self.begin_large(now, header, shared);
+            }
+        }
+        let max_length = shared.state.limits.http.max_body_bytes;
+        let (sequence, payload) = match packet::decode(&self.stream.input, max_length) {
+            Ok(Some(Packet { sequence, payload, length })) => {
+                let payload = payload.to_vec();
+                self.stream.input.drain(..length);
+                (sequence, payload)
             }
-            self.next_sequence = FIRST_ANSWER_SEQUENCE;
-            if self.is_authenticated() {
-                if let Some(header) = self.large_packet_header(shared) {
-                    return self.begin_large(now, header, shared);
-                }
+            Ok(None) => {
+                self.await_rest_of_packet(now, shared);
+                return Flow::Open;
             }
-            let max_length = shared.state.limits.http.max_body_bytes;
-            let (sequence, payload) = match packet::decode(&self.stream.input, max_length) {
-                Ok(Some(Packet { sequence, payload, length })) => {
-                    let payload = payload.to_vec();
-                    self.stream.input.drain(..length);
-                    (sequence, payload)
-                }
-                Ok(None) => {
-                    self.await_rest_of_packet(now, shared);
-                    return Flow::Open;
-                }
-                Err(Malformed) => {
-                    return self.end(now, FIRST_ANSWER_SEQUENCE, &MysqlError::too_large(), shared);
-                }
-            };
-            let flow = self.handle_packet(now, sequence.wrapping_add(1), &payload, shared);
-            if flow != Flow::Open {
-                return flow;
+            Err(Malformed) => {
+                return self.end(now, FIRST_ANSWER_SEQUENCE, &MysqlError::too_large(), shared);
             }
+        };
+        let flow = self.handle_packet(now, sequence.wrapping_add(1), &payload, shared);
+        if flow == Flow::Open && !self.is_authenticated() && !self.stream.input.is_empty() {
+            return self.next_packet(now, shared);
         }
-        Flow::Open
+        if flow == Flow::Open {
+            self.await_turn_if_buffered(now, shared);
+        }
+        flow
     }
 
     /// Sets the deadline by which an incomplete packet must be complete; a session with one is not idle.
--- a/src/listener/server/client.rs
+++ b/src/listener/server/client.rs
@@ -25,6 +25,11 @@
     /// Handles an expired deadline: closes the connection, or answers with an error.
     fn on_deadline(&mut self, now: Time, shared: &mut Self::Shared) -> Flow;
 
+    /// Handles the next request of the buffered input, after [`ListenerState::request_turn`].
+    fn on_turn(&mut self, _: Time, _: &mut Self::Shared) -> Flow {
+        Flow::Open
+    }
+
     /// The connection's place in the eviction order; `None` if it must not be evicted.
     fn eviction_rank(&self) -> Option<EvictionRank>;
 
--- a/src/listener/server/mod.rs
+++ b/src/listener/server/mod.rs
@@ -3,10 +3,12 @@
 mod accept;
 mod client;
 mod state;
+mod turns;
 mod uploads;
 
 pub use client::{ClientConnection, EvictionRank};
 pub use state::ListenerState;
+pub use turns::Turns;
 pub use uploads::{UploadConnection, Uploads};
 
 use crate::core::ListenerEvent;
@@ -56,9 +58,10 @@
         self.state().bad_requests
     }
 
-    /// Whether all answers are written and no body is being received.
+    /// Whether all answers are written, no buffered request waits for its turn and no body is being received.
     pub fn is_drained(&mut self) -> bool {
-        self.connections.is_flushed() && self.state().uploads.is_idle()
+        let state = self.state();
+        state.turns.is_empty() && state.uploads.is_idle() && self.connections.is_flushed()
     }
 
     /// Stops accepting, since another process has the listening socket as well. Each connection is closed
@@ -153,7 +156,9 @@
 
 impl<C: ClientConnection> EventHandler for Server<C> {
     fn next_deadline(&mut self) -> Option<Time> {
-        self.state().timers.next_deadline()
+        let state = self.state();
+        let deadlines = [state.timers.next_deadline(), state.turns.next_deadline()];
+        deadlines.into_iter().flatten().reduce(Time::min)
     }
 
     fn on_ready(&mut self, now: Time, ready: Ready) {
@@ -165,8 +170,12 @@
         self.resume_accepting(now);
     }
 
-    /// Checks the connections whose timers have expired.
+    /// Handles one request of each connection that waits for its turn, and checks the connections whose
+    /// timers have expired.
     fn on_timer(&mut self, now: Time) {
+        for token in self.state().turns.take() {
+            self.reply(now, token, |connection, shared| connection.on_turn(now, shared));
+        }
         while let Some(token) = self.state().timers.pop_due(now) {
             self.check_deadline(now, token);
         }
