Requests sent at once before a shutdown are answered

Callers saw: of several requests sent at once, those behind the one that was open 1 s after SIGTERM were lost with their connection. Cause: a shutdown closes each connection with its next answer, and HttpConnection::finish drops the input behind it, which had been read. Change: during a shutdown, an answer closes its connection only if nothing more has arrived on it. Why it works: every request whose last byte had been written by then is read and answered before the close. Result: requests_sent_at_once_before_a_shutdown_are_answered failed before and passes.

--- a/src/listener/http/connection.rs
+++ b/src/listener/http/connection.rs
@@ -160,7 +160,7 @@
         let body_is_arriving = self.is_uploading();
         self.finish_upload(shared);
         self.become_idle(now, shared);
-        self.keep_alive &= !body_is_arriving && !shared.state.shutting_down;
+        self.keep_alive &= !body_is_arriving && !self.closes_for_shutdown(shared);
         self.stream.push(encode_answer(answer, self.keep_alive));
         if !self.keep_alive {
             return self.finish(now, shared);
@@ -182,7 +182,7 @@
                 Flow::Open
             }
             Decoded::Complete { request, length } => {
-                self.consume_request(&request, length, shared);
+                self.consume_request(&request, length);
                 let flow = self.handle_request(now, &request, shared);
                 if flow == Flow::Open {
                     self.await_turn_if_buffered(now, shared);
@@ -190,7 +190,7 @@
                 flow
             }
             Decoded::LargeBody { request, head_length, body_length, expects_continue } => {
-                self.consume_request(&request, head_length, shared);
+                self.consume_request(&request, head_length);
                 let flow = self.handle_large_request(now, &request, body_length, shared);
                 if flow != Flow::Open {
                     return flow;
@@ -244,12 +244,18 @@
     }
 
     /// Removes the bytes of an HTTP request, or of its head, from the input.
-    fn consume_request(&mut self, http_request: &HttpRequest, length: usize, shared: &Shared) {
+    fn consume_request(&mut self, http_request: &HttpRequest, length: usize) {
         self.stream.input.drain(..length);
-        self.keep_alive = http_request.keep_alive && !shared.state.shutting_down;
+        self.keep_alive = http_request.keep_alive;
         self.has_sent_request = true;
     }
 
+    /// Whether the connection is closed after the next response because the process is about to end. Requests
+    /// that have already arrived are answered before.
+    fn closes_for_shutdown(&self, shared: &Shared) -> bool {
+        shared.state.shutting_down && self.stream.input.is_empty() && !self.stream.has_input()
+    }
+
     /// Answers a complete HTTP request, or submits it to the core.
     fn handle_request(&mut self, now: Time, http_request: &HttpRequest, shared: &mut Shared) -> Flow {
         self.become_idle(now, shared);
@@ -287,11 +293,13 @@
             if http_request.method != "GET" {
                 return Err(HttpError(status::METHOD_NOT_ALLOWED));
             }
+            self.keep_alive &= !self.closes_for_shutdown(shared);
             self.stream.push(codec::json(status::OK, None, HEALTH_BODY, self.keep_alive));
             return Ok(());
         }
         let Some(class_name) = path.strip_prefix(INVOKE_PREFIX) else {
             // No request was opened, so the connection can remain open.
+            self.keep_alive &= !self.closes_for_shutdown(shared);
             self.stream.push(codec::json(status::NOT_FOUND, None, ERROR_BODY, self.keep_alive));
             return Ok(());
         };
--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -9,6 +9,7 @@
 use raw_mysql::{command, mysql_toml, RawSession, RowsEngine, QUERY};
 use recording_engine::{Behaviour, RecordingEngine};
 use standin::Client;
+use std::time::Duration;
 
 const OK: u16 = 200;
 
@@ -57,6 +58,23 @@
     }
 }
 
+/// Guards against requests that are lost because a shutdown drops what was read behind the request that it waits for. The
+/// requests take longer than the 1 s after which connections are closed with their next answer.
+#[test]
+fn requests_sent_at_once_before_a_shutdown_are_answered() {
+    let engine = RecordingEngine::start("e1");
+    engine.set(Behaviour { delay: Duration::from_millis(600), ..Behaviour::default() });
+    let mut daemon = fixture(&engine);
+    let mut client = Client::new(&daemon);
+    client.send(&requests(0..4)).expect("sent");
+    daemon.signal("TERM");
+    for n in 0..4 {
+        assert_eq!(client.answer().0, OK, "request {n}");
+    }
+    assert_eq!(daemon.ended().code(), Some(0));
+    assert_eq!(engine.runs().len(), 4);
+}
+
 /// The same on the other listener: a result of 64 KB in packets, which has 47,000 bytes as text, is an ordinary one.
 #[test]
 fn mysql_results_over_64_kb_are_answered() {
