A store member that does not take part watches the others and keeps following the store

Callers saw: a coordinator whose member came back without its disk sent look-ups to an engine that was in maintenance everywhere, until an operator added the member again; one that was removed ran on with old data. Cause: a daemon was either a member or a watcher, by its file. A member whose log is empty or does not list it learns nothing and asks nobody, and Replica::is_current reported an empty one as up to date. A replica is current only while its log lists it, its disk works and its contact is less than 1 s old. Members outside refuse to be watched. Why it works: a daemon's copy always has a source that counts, whatever its disk has; the old copy stays in use until the other one is up to date.

--- a/src/daemon/handlers.rs
+++ b/src/daemon/handlers.rs
@@ -24,8 +24,10 @@
     MysqlListener,
     /// The upstream of [`Routes::mysql`].
     MysqlUpstream,
-    /// [`Handlers::store`].
-    Store,
+    /// The member of [`Handlers::store`].
+    StoreMember,
+    /// The watcher of [`Handlers::store`].
+    StoreWatcher,
     /// [`Handlers::admin`].
     AdminInterface,
     /// [`Handlers::body_store`].
@@ -64,7 +66,7 @@
 }
 
 /// Every event handler, in the order in which their timers run.
-const REGISTRATIONS: [Registration; 9] = [
+const REGISTRATIONS: [Registration; 10] = [
     Registration {
         owner: Owner::Signals,
         priority: Priority::Signals,
@@ -91,9 +93,14 @@
         find: |handlers| handlers.body_store.as_mut().map(|handler| handler as &mut dyn EventHandler),
     },
     Registration {
-        owner: Owner::Store,
+        owner: Owner::StoreMember,
         priority: Priority::Others,
-        find: |handlers| handlers.store.as_mut().map(|handler| handler as &mut dyn EventHandler),
+        find: |handlers| handlers.store.as_mut().and_then(Store::member_handler),
+    },
+    Registration {
+        owner: Owner::StoreWatcher,
+        priority: Priority::Others,
+        find: |handlers| handlers.store.as_mut().map(Store::watcher_handler),
     },
     Registration {
         owner: Owner::AdminInterface,
--- a/src/daemon/startup.rs
+++ b/src/daemon/startup.rs
@@ -86,7 +86,13 @@
     /// configuration.
     fn open_store(&self, config: &mut Config) -> Result<Option<Store>, DaemonError> {
         let Some(file) = read_optional(store::CONFIG_FILE)? else { return Ok(None) };
-        let context = LoopContext::new(Owner::Store.number(), self.now, &self.poller, &self.limits);
+        let context = LoopContext::new(
+            Owner::StoreMember.number(),
+            Owner::StoreWatcher.number(),
+            self.now,
+            &self.poller,
+            &self.limits,
+        );
         let store = Store::open(file, &config.name, context)?;
         config.apply_stored(store.get(store::SETTINGS_KEY), store.get(store::ENDPOINTS_KEY))?;
         if let Some(address) = store.address() {
--- a/src/daemon/store_updates.rs
+++ b/src/daemon/store_updates.rs
@@ -6,7 +6,7 @@
 use crate::discovery::endpoint_json::{self, EndpointJsonError};
 use crate::discovery::EndpointChanges;
 use crate::net::Time;
-use crate::store::{self, Store};
+use crate::store;
 use dahliaspoke::policy::{ListScope, Settings};
 use dahliaspoke::settings::{object, parse_settings, SettingsError};
 use thiserror::Error;
@@ -61,7 +61,7 @@
 
     /// Applies every key that has changed.
     pub(super) fn apply_store_changes(&mut self, now: Time) {
-        while let Some(key) = self.handlers.store.as_mut().and_then(Store::next_changed_key) {
+        while let Some(key) = self.handlers.store.as_mut().and_then(|store| store.next_changed_key(now)) {
             tracing::info!(at = now, part = "store", "{key} has changed");
             if key.is_empty() || key.starts_with(store::MAINTENANCE_PREFIX) {
                 self.apply_stored_maintenance(now);
--- a/src/store/member/connections.rs
+++ b/src/store/member/connections.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Closes a connection.
+    pub fn close(&mut self, now: Time, connection: Token) {
+        self.slab.close(now, connection, &mut self.received);
+    }
+
     /// A connection's descriptor is ready.
     pub fn on_ready(&mut self, now: Time, ready: Ready) {
         self.slab.on_ready(now, ready, &mut self.received);
--- a/src/store/member/mod.rs
+++ b/src/store/member/mod.rs
@@ -52,7 +52,7 @@
         name: &str,
         context: LoopContext,
     ) -> Result<Self, StoreError> {
-        let LoopContext { owner, now, poller, limits } = context;
+        let LoopContext { member_owner: owner, now, poller, limits, .. } = context;
         let listen_error = |error| StoreError::Listen { address: listen, error };
         let socket = TcpListener::bind(listen).map_err(listen_error)?;
         let listener = Acceptor::new(owner, socket, poller.clone()).map_err(listen_error)?;
--- a/src/store/member/requests.rs
+++ b/src/store/member/requests.rs
@@ -26,6 +26,10 @@
             Request::Raft(message) => replica.on_message(now, *message),
             Request::Read { key, with_version } => replica.read(now, connection, key, with_version),
             Request::Change(command) => replica.propose(now, connection, &command),
+            // What a member knows that does not take part is no longer or not yet that of the store.
+            Request::Watch(_) if !replica.participates() => {
+                self.answer(now, connection, &Err(CallError::NotParticipating));
+            }
             Request::Watch(version) => self.start_watch(now, connection, version),
             Request::Status => {
                 let status = Reply::Text(Some(self.status(now).into()));
--- a/src/store/member/watchers.rs
+++ b/src/store/member/watchers.rs
@@ -90,6 +90,9 @@
     /// Sends watchers this member's progress. Their copy is as old as this member's last contact with a quorum or the
     /// leader. Nothing is sent while no leader is known or after a failure, as this member then learns nothing new.
     pub(super) fn send_heartbeat(&mut self, now: Time) {
+        if !self.replica.participates() {
+            return self.end_watches(now);
+        }
         let replica = &self.replica;
         if replica.raft.leader().is_none() || replica.failure.is_some() {
             return;
@@ -100,6 +103,13 @@
         self.watchers.connections.retain(|connection| connections.is_open(*connection));
     }
 
+    /// Closes the connections of all watchers, which then watch another member.
+    fn end_watches(&mut self, now: Time) {
+        for connection in std::mem::take(&mut self.watchers.connections) {
+            self.connections.close(now, connection);
+        }
+    }
+
     fn send_to_watchers(&mut self, now: Time, event: Vec<u8>) {
         let event = Arc::new(event);
         for connection in self.watchers.connections() {
--- a/src/store/replica/mod.rs
+++ b/src/store/replica/mod.rs
@@ -27,6 +27,10 @@
 /// Total size of applied entries after which a snapshot replaces the log's entries (bytes).
 const SNAPSHOT_BYTES: usize = 1 << 20;
 
+/// Longest time since the last contact with the leader or, on the leader, with a quorum, after which a replica still
+/// counts as current (ms).
+const MAX_CURRENT_AGE_MS: u64 = 1000;
+
 /// What a replica asks its owner to do.
 pub enum ReplicaEvent {
     /// Send this message to a member.
@@ -125,11 +129,17 @@
         self.raft.time_since_contact(micros(now)) / 1000
     }
 
-    /// Whether the state machine has all entries that the leader had committed when it sent its last message. A
-    /// member of no store has nothing to wait for.
-    pub fn is_current(&self) -> bool {
-        if self.raft.members().is_empty() {
-            return true;
+    /// Whether this replica takes part in the store: it is one of the members that its log lists, and its disk has not
+    /// failed. A member that has lost its disk, or was removed, does not.
+    pub fn participates(&self) -> bool {
+        self.failure.is_none() && self.raft.members().contains_key(&self.raft.id())
+    }
+
+    /// Whether the state machine has all entries that the leader had committed when it sent its last message, a moment
+    /// ago.
+    pub fn is_current(&self, now: Time) -> bool {
+        if !self.participates() || self.age_ms(now) > MAX_CURRENT_AGE_MS {
+            return false;
         }
         // A new leader does not know what is committed before an entry of its own term is.
         let own_commit = self.raft.has_committed_in_term().then_some(self.raft.commit());
--- a/src/store/watcher/mod.rs
+++ b/src/store/watcher/mod.rs
@@ -1,4 +1,4 @@
-//! A daemon that is not a member: it watches one, and switches to the next if the connection is lost or the member
+//! Watches a member of the store, for a daemon whose own member does not take part or that has none, and switches to the next if the connection is lost or the member
 //! reports no progress.
 
 mod connection;
@@ -10,7 +10,7 @@
 use connection::{ReceivedEvent, WatchConnection};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use view::View;
+pub use view::View;
 
 /// Time (s) without reported progress after which the watcher switches to another member.
 const SILENCE_TIMEOUT: Time = 2.0;
@@ -27,28 +27,47 @@
     connection: Option<Token>,
     /// When the watcher switches to another member unless the watched one reports progress.
     silence_deadline: Time,
-    next_poll: Time,
+    /// When the connection is checked next; `None` while the watcher is not active.
+    next_poll: Option<Time>,
     connections: ConnectionSlab<WatchConnection>,
     received: VecDeque<ReceivedEvent>,
     view: View,
 }
 
 impl Watcher {
-    /// A watcher of the configured members. `name` is this daemon's own name.
-    pub fn new(config: &Config, name: &str, context: LoopContext) -> Self {
+    /// A watcher of the configured members. `name` is this daemon's own name. It is active unless this daemon is
+    /// configured as a member.
+    pub fn new(config: &Config, name: &str, context: &LoopContext) -> Self {
         let members = config.peers.iter().filter(|(other, _)| *other != name);
         Self {
             members: members.map(|(_, address)| *address).collect(),
             rotation: 0,
             connection: None,
             silence_deadline: 0.0,
-            next_poll: context.now,
-            connections: ConnectionSlab::new(context.owner, context.poller),
+            next_poll: config.folder.is_none().then_some(context.now),
+            connections: ConnectionSlab::new(context.watcher_owner, context.poller.clone()),
             received: VecDeque::new(),
             view: View::default(),
         }
     }
 
+    /// Whether there is a member to watch.
+    pub fn has_members(&self) -> bool {
+        !self.members.is_empty()
+    }
+
+    /// Starts or ends the watch. The copy remains.
+    pub fn set_active(&mut self, now: Time, is_active: bool) {
+        if is_active {
+            self.next_poll.get_or_insert(now);
+            return;
+        }
+        self.next_poll = None;
+        if let Some(token) = self.connection.take() {
+            self.connections.close(now, token, &mut self.received);
+        }
+    }
+
     /// The watcher's copy of the store.
     pub fn view(&self) -> &View {
         &self.view
@@ -104,12 +123,12 @@
 
 impl EventHandler for Watcher {
     fn next_deadline(&mut self) -> Option<Time> {
-        Some(self.next_poll)
+        self.next_poll
     }
 
     fn on_timer(&mut self, now: Time) {
-        if self.next_poll <= now {
-            self.next_poll = now + POLL_INTERVAL;
+        if self.next_poll.is_some_and(|next_poll| next_poll <= now) {
+            self.next_poll = Some(now + POLL_INTERVAL);
             self.check_connection(now);
         }
     }
--- a/src/store/wire/answer.rs
+++ b/src/store/wire/answer.rs
@@ -55,6 +55,9 @@
     /// There is no voter of this name.
     #[error("no voting member has that name")]
     NoSuchVoter,
+    /// This daemon's member does not take part in the store, so that it cannot be watched.
+    #[error("not a member of the store; watch another")]
+    NotParticipating,
     /// The member has a log already.
     #[error("it has a log already")]
     AlreadyBootstrapped,
@@ -108,6 +111,7 @@
             | CallError::InvalidValue { .. } => "ERR",
             CallError::UnknownPeer(_)
             | CallError::NotIdentified
+            | CallError::NotParticipating
             | CallError::NoSuchMember
             | CallError::NoSuchVoter
             | CallError::AlreadyBootstrapped
