A store member that restarts cut off applies what it knew to be committed

Callers saw: a coordinator whose member was killed and restarted while cut off sent look-ups to an engine that its own log has in maintenance, once the 3 s that a start waits for the store were over. Change: each member records the position of its last applied entry in the file `commit`, with the ids of log and member and a checksum, unsynced. At the start it counts if the log has that entry, and the entries up to it are applied before anything is served. The format of the log is unchanged. Why it works: two logs that have the same entry agree before it, so all up to a committed one are committed. Result: a_member_that_restarts_cut_off_keeps_the_maintenance_that_it_knew failed before and passes; raft (all tests), store_members (3), agreement (13), agreement_load (5, three times), exchanges (57) pass.

--- a/crates/raft/src/disk/mod.rs
+++ b/crates/raft/src/disk/mod.rs
@@ -6,6 +6,7 @@
 //! Each record states how much of its segment had been synced when it was written. A corrupt record within a part known
 //! to be synced is damage, and the member refuses to start; one after all such parts is a torn write, and is dropped.
 
+mod commit_file;
 mod error;
 mod folder;
 mod record;
@@ -53,6 +54,7 @@
             Recovered { segment: 0, state, length: 0, format: FORMAT }
         });
         let mut log = Self { disk, state, segment, length, checkpoint_bytes: 0, failed: false };
+        log.state.commit = commit_file::read(&mut *log.disk, &log.state.hard_state);
         if is_current {
             // Bytes after the last complete record are not part of the log.
             let name = segment_name(segment);
@@ -84,6 +86,14 @@
         result
     }
 
+    /// Records how far the log is known to be committed. This is not synced, and an error changes nothing: the former
+    /// record stays.
+    pub fn record_commit(&mut self, commit: LogPosition) {
+        if !self.failed && commit_file::write(&mut *self.disk, &self.state.hard_state, commit).is_ok() {
+            self.state.commit = commit;
+        }
+    }
+
     fn write_and_sync(&mut self, batches: &[WriteBatch]) -> io::Result<()> {
         for snapshot in batches.iter().filter_map(|batch| batch.snapshot.as_ref()) {
             self.put_file(&snapshot_name(snapshot.position()), &encode(&**snapshot))?;
@@ -126,7 +136,7 @@
     /// Starts the next segment, with a checkpoint.
     fn start_segment(&mut self) -> io::Result<()> {
         let next = self.segment + 1;
-        let PersistentState { hard_state, snapshot, base, entries } = self.state.clone();
+        let PersistentState { hard_state, snapshot, base, entries, .. } = self.state.clone();
         let checkpoint = Record::Checkpoint { hard_state, snapshot: snapshot.position(), base, entries };
         let mut bytes = header();
         bytes.extend_from_slice(&encode_record(&checkpoint, 0));
--- a/crates/raft/src/disk/recovery.rs
+++ b/crates/raft/src/disk/recovery.rs
@@ -67,7 +67,13 @@
     let Record::Checkpoint { hard_state, snapshot: mut snapshot_position, base, entries } = record else {
         return Ok(None);
     };
-    let mut state = PersistentState { hard_state, snapshot: Arc::default(), base, entries };
+    let mut state = PersistentState {
+        hard_state,
+        snapshot: Arc::default(),
+        base,
+        entries,
+        commit: LogPosition::default(),
+    };
     let mut offset = end;
     while offset < bytes.len() {
         let Some(decoded) = decode_record(bytes, offset, format) else {
--- a/crates/raft/src/raft/commit.rs
+++ b/crates/raft/src/raft/commit.rs
@@ -2,7 +2,7 @@
 
 use super::role::Role;
 use super::{is_planted, Action, Proposal, ProposeError, Raft};
-use crate::entry::{Entry, EntryKind};
+use crate::entry::{Entry, EntryKind, LogPosition};
 use crate::Index;
 
 impl Raft {
@@ -35,6 +35,7 @@
     /// Applies the committed entries, then answers the confirmed reads.
     pub(super) fn apply_committed(&mut self, actions: &mut Vec<Action>) {
         let mut removed = false;
+        let applied_before = self.applied;
         while self.applied < self.commit {
             self.applied += 1;
             let Some(entry) = self.log.get(self.applied).cloned() else { continue };
@@ -43,6 +44,10 @@
             }
             self.apply_entry(entry, actions);
         }
+        if self.applied > applied_before {
+            let term = self.log.term(self.applied).unwrap_or_default();
+            actions.push(Action::RecordCommit(LogPosition { index: self.applied, term }));
+        }
         self.answer_confirmed_reads(actions);
         // A leader that removes itself steps down once the entry is committed (4.2.2).
         if removed && self.leads() && !self.members().contains_key(&self.hard_state.id) {
--- a/crates/raft/src/raft/events.rs
+++ b/crates/raft/src/raft/events.rs
@@ -1,7 +1,7 @@
 //! Events that a member handles, and the actions that its caller has to carry out.
 
 use super::{ProposeError, WriteBatch};
-use crate::entry::{Entry, Snapshot};
+use crate::entry::{Entry, LogPosition, Snapshot};
 use crate::message::Message;
 use crate::{Id, Index};
 use std::sync::Arc;
@@ -86,6 +86,9 @@
         /// The caller's id for the proposal, if it was made at this member.
         proposal_id: Option<u64>,
     },
+    /// Record that the log is committed up to this entry, so that the member knows it after a restart. Nothing depends on
+    /// the record: it may be late or lost.
+    RecordCommit(LogPosition),
     /// Replace the state machine's state with this snapshot.
     Restore(Arc<Snapshot>),
     /// Carry out a read now: all entries up to `index` have been applied by earlier actions.
--- a/crates/raft/src/raft/mod.rs
+++ b/crates/raft/src/raft/mod.rs
@@ -96,7 +96,7 @@
     /// Creates a member from its state on disk, which for a new member contains its id only.
     #[must_use]
     pub fn new(options: Options, saved: PersistentState, now: Micros) -> Self {
-        let PersistentState { hard_state, snapshot, base, entries } = saved;
+        let PersistentState { hard_state, snapshot, base, entries, commit: known_commit } = saved;
         let first = Configuration { index: snapshot.index, members: snapshot.members.clone() };
         let commit = snapshot.index;
         let mut raft = Self {
@@ -123,6 +123,10 @@
             outbox: Vec::new(),
         };
         raft.load(entries);
+        // The record may be ahead of what reached the disk of the log.
+        if raft.log.term(known_commit.index) == Some(known_commit.term) {
+            raft.commit = commit.max(known_commit.index);
+        }
         raft.reset_election_deadline();
         raft
     }
--- a/crates/raft/src/raft/persistence.rs
+++ b/crates/raft/src/raft/persistence.rs
@@ -43,6 +43,9 @@
     pub base: LogPosition,
     /// The entries, contiguous and in order.
     pub entries: Vec<Entry>,
+    /// The last entry that was known to be committed; older than what was last known, or the default, after a crash. It
+    /// counts only if the log has this entry.
+    pub commit: LogPosition,
 }
 
 impl PersistentState {
--- a/crates/raft/src/writer.rs
+++ b/crates/raft/src/writer.rs
@@ -2,6 +2,7 @@
 //! Batches queued during a write are written together by the next one, with a single sync.
 
 use crate::disk::DiskLog;
+use crate::entry::LogPosition;
 use crate::raft::WriteBatch;
 use rustix::event::{eventfd, EventfdFlags};
 use std::io;
@@ -22,9 +23,15 @@
     Failed(io::Error),
 }
 
+/// What the thread writes.
+enum Job {
+    Batch(WriteBatch),
+    Commit(LogPosition),
+}
+
 /// A handle to the thread, which ends when the handle is dropped.
 pub struct LogWriter {
-    batches: Sender<WriteBatch>,
+    jobs: Sender<Job>,
     results: Receiver<WriteResult>,
     waker: Arc<OwnedFd>,
 }
@@ -36,16 +43,21 @@
     /// If the system cannot create the waker's file descriptor.
     pub fn start(log: DiskLog, failpoint: fn(&str)) -> io::Result<Self> {
         let waker = Arc::new(eventfd(0, EventfdFlags::NONBLOCK | EventfdFlags::CLOEXEC)?);
-        let (batches, queue) = channel();
+        let (jobs, queue) = channel();
         let (report, results) = channel();
         let worker = Worker { log, failpoint, queue, report, waker: waker.clone() };
         std::thread::spawn(move || worker.run());
-        Ok(Self { batches, results, waker })
+        Ok(Self { jobs, results, waker })
     }
 
     /// Queues a batch, to be written after those queued before.
     pub fn write(&self, batch: WriteBatch) {
-        let _ = self.batches.send(batch); // fails only if the thread has ended, for a reason that it has reported
+        let _ = self.jobs.send(Job::Batch(batch)); // fails only if the thread has ended, for a reason that it has reported
+    }
+
+    /// Queues the record of how far the log is committed. It has no result.
+    pub fn record_commit(&self, commit: LogPosition) {
+        let _ = self.jobs.send(Job::Commit(commit)); // as above
     }
 
     /// Returns the next result, if there is one.
@@ -70,7 +82,7 @@
 struct Worker {
     log: DiskLog,
     failpoint: fn(&str),
-    queue: Receiver<WriteBatch>,
+    queue: Receiver<Job>,
     report: Sender<WriteResult>,
     waker: Arc<OwnedFd>,
 }
@@ -78,8 +90,18 @@
 impl Worker {
     fn run(mut self) {
         while let Ok(first) = self.queue.recv() {
-            let batches: Vec<WriteBatch> = std::iter::once(first).chain(self.queue.try_iter()).collect();
-            let result = self.write(&batches);
+            let (mut batches, mut commit) = (Vec::new(), None);
+            for job in std::iter::once(first).chain(self.queue.try_iter()) {
+                match job {
+                    Job::Batch(batch) => batches.push(batch),
+                    Job::Commit(position) => commit = Some(position),
+                }
+            }
+            let result = (!batches.is_empty()).then(|| self.write(&batches));
+            if let Some(commit) = commit {
+                self.log.record_commit(commit);
+            }
+            let Some(result) = result else { continue };
             if self.report.send(result).is_err() {
                 return;
             }
--- a/crates/raft/tests/disk.rs
+++ b/crates/raft/tests/disk.rs
@@ -1,7 +1,7 @@
 //! Tests of the log on disk: truncation and corruption at each byte, failing and missing syncs, a full disk, format 1.
 
 use dahliaspoke_raft::disk::{Disk, DiskLog, Folder, MAX_SEGMENT_BYTES};
-use dahliaspoke_raft::entry::{Entry, EntryKind, HardState, Snapshot};
+use dahliaspoke_raft::entry::{Entry, EntryKind, HardState, LogPosition, Snapshot};
 use dahliaspoke_raft::raft::{PersistentState, WriteBatch};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -386,3 +386,26 @@
         }
     }
 }
+
+/// Guards against a member that restarts and does not know what was committed in its own log.
+#[test]
+fn the_last_commit_index_is_read_back_and_one_of_another_log_is_not() {
+    let disk = MemoryDisk::default();
+    let mut log = open(&disk).expect("a new log");
+    log.write(&[appends(1, 1, 6)]).expect("written");
+    let commit = LogPosition { index: 4, term: 1 };
+    log.record_commit(commit);
+    drop(log);
+    assert_eq!(open(&disk).expect("opened").state().commit, commit);
+    let record = disk.clone().read("commit").expect("a record");
+    for length in 0..record.len() {
+        disk.clone().truncate("commit", length as u64).expect("shortened");
+        assert_eq!(open(&disk).expect("opened").state().commit, LogPosition::default(), "{length} bytes");
+        disk.clone().remove("commit").expect("removed");
+        disk.clone().append("commit", &record).expect("written");
+    }
+    let other = MemoryDisk::default();
+    DiskLog::open(Box::new(other.clone()), || 6).expect("a new log");
+    other.clone().append("commit", &record).expect("written");
+    assert_eq!(open(&other).expect("opened").state().commit, LogPosition::default());
+}
--- a/crates/raft/tests/sim/node.rs
+++ b/crates/raft/tests/sim/node.rs
@@ -163,6 +163,7 @@
             Action::Persist(batch) => self.start_write(at, batch),
             Action::Send(message) => self.send(at, &message),
             Action::Apply { entry, proposal_id } => self.apply(at, entry, proposal_id),
+            Action::RecordCommit(commit) => self.nodes[at].disk.commit = commit,
             Action::Restore(snapshot) => {
                 self.report.snapshots += 1;
                 self.nodes[at].state_machine = restore(&snapshot);
--- a/crates/raft/tests/snapshot_chunks.rs
+++ b/crates/raft/tests/snapshot_chunks.rs
@@ -19,6 +19,7 @@
         snapshot: snapshot.clone(),
         base: LogPosition { index: 60, term: 1 },
         entries: Vec::new(),
+        ..PersistentState::default()
     };
     let mut rafts: Vec<Raft> = [up_to_date(1), up_to_date(2), lagging]
         .into_iter()
--- a/src/store/replica/actions.rs
+++ b/src/store/replica/actions.rs
@@ -17,6 +17,7 @@
                 self.events.push(ReplicaEvent::Send(message));
             }
             Action::Apply { entry, proposal_id } => self.apply(&entry, proposal_id),
+            Action::RecordCommit(commit) => self.writer.record_commit(commit),
             Action::Restore(snapshot) => self.restore(&snapshot),
             Action::Read { proposal_id, .. } => self.complete_read(proposal_id),
             Action::Rejected { proposal_id, why } => self.reject(proposal_id, why),
--- a/src/store/replica/mod.rs
+++ b/src/store/replica/mod.rs
@@ -93,7 +93,7 @@
             .map_err(|error| OpenError::Snapshot { folder: folder.into(), error })?;
         let hello = Hello { id: saved.hard_state.id, name: name.into(), address };
         let writer = LogWriter::start(log, failpoints::reach).map_err(unusable)?;
-        Ok(Self {
+        let mut replica = Self {
             raft: Raft::new(Options::new(random_id()?), saved, micros(now)),
             state_machine,
             hello,
@@ -105,7 +105,10 @@
             learner_to_promote: None,
             bytes_since_snapshot: 0,
             events: Vec::new(),
-        })
+        };
+        // Applies the entries that were known to be committed, before anything is served.
+        replica.handle(now, Event::Tick);
+        Ok(replica)
     }
 
     /// Takes the events since the last call, in order.
--- a/tests/store_members.rs
+++ b/tests/store_members.rs
@@ -109,3 +109,20 @@
     fixture.end_maintenance();
     fixture.wait_until_e0_is_used(true);
 }
+
+/// Guards against a member that restarts while it is cut off from the others and sends to an engine that its own log has
+/// in maintenance: after a start only the snapshot was applied.
+#[test]
+fn a_member_that_restarts_cut_off_keeps_the_maintenance_that_it_knew() {
+    let mut fixture = Fixture::new();
+    fixture.start_maintenance();
+    wait_until_caught_up(&mut fixture.fleet, OTHER);
+    fixture.wait_until_e0_is_used(false);
+    fixture.fleet.processes[OTHER].kill();
+    fixture.fleet.partition(&[OTHER], &[0, 1]);
+    fixture.fleet.start_process(OTHER, None);
+    fixture.assert_leaves_out_e0();
+    fixture.end_maintenance();
+    fixture.fleet.heal();
+    fixture.wait_until_e0_is_used(true);
+}
