The buffers of all clients together stay within a share of the memory

Cause: each connection's buffers have limits, their sum had none; input buffers doubled and were kept. Change: the slab of a listener's connections measures their buffers. Beyond 0.15 of the memory (HTTP; MySQL 0.1, admin 4 MB) the connection with the most is closed, an incomplete request with 503 or error 1041. Input buffers grow by need and are given back; 8 to 64 KB of answers may be unread, by the same limit. Why it works: what is buffered is bounded by the memory, whatever each client does, and what is refused has not been taken.

--- a/src/limits/clients.rs
+++ b/src/limits/clients.rs
@@ -7,6 +7,14 @@
 
 /// Share of the descriptors that `MySQL` sessions may use.
 const SESSION_DESCRIPTOR_SHARE: f64 = 0.1;
+/// Share of the memory that the buffers of HTTP connections may occupy.
+const HTTP_BUFFER_MEMORY_SHARE: f64 = 0.15;
+/// Share of the memory that the buffers of `MySQL` sessions may occupy.
+const MYSQL_BUFFER_MEMORY_SHARE: f64 = 0.1;
+/// Lower bound of the answers that one client may leave unread before it is no longer read from (bytes).
+const MIN_UNREAD_ANSWER_BYTES: f64 = 8.0 * 1024.0;
+/// Upper bound of the same (bytes).
+const MAX_UNREAD_ANSWER_BYTES: f64 = 64.0 * 1024.0;
 /// Share of the memory that incomplete request bodies may occupy.
 const INCOMPLETE_BODY_MEMORY_SHARE: f64 = 0.125;
 /// Lower bound of the limit on the body that one request may have in memory (bytes).
@@ -28,8 +36,11 @@
     pub idle_timeout: f64,
     /// How long the client of a rejected connection has to read its answer before the connection is closed.
     pub linger_timeout: f64,
-    /// Maximum number of answer bytes that one client may leave unread.
+    /// A client that leaves more bytes of its answers than this unread is not read from.
     pub max_unread_answer_bytes: usize,
+    /// Maximum memory of the buffers of all HTTP connections: requests that are arriving and answers that are not
+    /// read. Beyond it, the connection that occupies the most is closed.
+    pub max_buffered_bytes: usize,
     /// Maximum time spent on a request, however long its client would wait.
     pub max_request_time: f64,
     /// Maximum number of connections accepted in one iteration of the event loop.
@@ -40,13 +51,17 @@
 
 impl ClientLimits {
     pub(super) fn new(machine: &Machine) -> Self {
+        let max_buffered_bytes = machine.memory_mb * HTTP_BUFFER_MEMORY_SHARE * MEGABYTE;
         Self {
             max_connections: machine.client_descriptors() as usize,
             request_timeout: 2.0,
             min_connection_age: 0.03,
             idle_timeout: 6.0,
             linger_timeout: 1.0,
-            max_unread_answer_bytes: 64 << 10,
+            max_unread_answer_bytes: (max_buffered_bytes / machine.client_descriptors())
+                .clamp(MIN_UNREAD_ANSWER_BYTES, MAX_UNREAD_ANSWER_BYTES)
+                as usize,
+            max_buffered_bytes: max_buffered_bytes as usize,
             max_request_time: 120.0,
             accept_batch: 64,
             accept_backoff: 0.05,
@@ -112,6 +127,8 @@
     pub write_timeout: f64,
     /// Maximum number of prepared statements of one session, and of one connection to an engine.
     pub max_statements: usize,
+    /// Maximum memory of the buffers of all sessions. Beyond it, the session that occupies the most is closed.
+    pub max_buffered_bytes: usize,
     /// Maximum number of packets in one result.
     pub max_result_packets: usize,
     /// Maximum size of one result.
@@ -125,6 +142,7 @@
             session_idle_timeout: 28_800.0,
             write_timeout: 60.0,
             max_statements: 256,
+            max_buffered_bytes: (machine.memory_mb * MYSQL_BUFFER_MEMORY_SHARE * MEGABYTE) as usize,
             max_result_packets: 65_536,
             max_result_bytes: 1 << 20,
         }
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -21,6 +21,8 @@
 
 /// Maximum number of operators' connections to the admin interface.
 const ADMIN_CONNECTIONS: usize = 8;
+/// Maximum memory of the buffers of these connections (bytes).
+const MAX_ADMIN_BUFFER_BYTES: usize = 4 << 20;
 
 /// All limits of the daemon, by concern.
 #[derive(Clone, Debug)]
@@ -68,7 +70,10 @@
             engines: EngineLimits::from_settings(settings, &machine)?,
             discovery: DiscoveryLimits::new(),
             store: StoreLimits { max_connections: 32 },
-            admin: AdminLimits { max_connections: ADMIN_CONNECTIONS },
+            admin: AdminLimits {
+                max_connections: ADMIN_CONNECTIONS,
+                max_buffered_bytes: MAX_ADMIN_BUFFER_BYTES,
+            },
             event_loop: EventLoopLimits { suspend_threshold: 0.5, catch_up_timeout: 0.1 },
             shutdown: ShutdownLimits::from_settings(settings, shares_listener)?,
         })
@@ -98,6 +103,8 @@
 pub struct AdminLimits {
     /// Maximum number of open connections.
     pub max_connections: usize,
+    /// Maximum memory of the buffers of all connections; the statistics of 3,200 engines fit.
+    pub max_buffered_bytes: usize,
 }
 
 /// Limits of the event loop.
--- a/src/listener/http/connection.rs
+++ b/src/listener/http/connection.rs
@@ -92,6 +92,17 @@
         self.next_request(now, shared)
     }
 
+    fn on_memory_pressure(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        if matches!(self.state, State::Receiving { .. } | State::Uploading(_)) {
+            return self.reject(now, status::SERVICE_UNAVAILABLE, shared);
+        }
+        Flow::Close
+    }
+
+    fn max_buffered_bytes(limits: &Limits) -> usize {
+        limits.clients.max_buffered_bytes
+    }
+
     /// A connection whose response is not completely written must not be evicted: a truncated response loses
     /// the request.
     fn eviction_rank(&self) -> Option<EvictionRank> {
--- a/src/listener/mysql/error.rs
+++ b/src/listener/mysql/error.rs
@@ -6,6 +6,8 @@
 pub mod code {
     /// Wrong account or password.
     pub const ACCESS_DENIED_ERROR: u16 = 1045;
+    /// A limit on memory.
+    pub const OUT_OF_RESOURCES: u16 = 1041;
     /// An unknown command.
     pub const UNKNOWN_COM_ERROR: u16 = 1047;
     /// A schema that does not exist.
@@ -105,6 +107,11 @@
         Self::new(code::NET_PACKET_TOO_LARGE, sql_state::CONNECTION_FAILURE, message)
     }
 
+    /// The error for a command that there is no memory for; nothing ran.
+    pub fn out_of_memory() -> Self {
+        Self::new(code::OUT_OF_RESOURCES, sql_state::GENERAL, "Out of memory; try again later")
+    }
+
     /// The error for bytes that are not a packet of the expected kind.
     pub fn malformed() -> Self {
         Self::new(code::MALFORMED_PACKET, sql_state::GENERAL, "Malformed communication packet")
--- a/src/listener/mysql/session.rs
+++ b/src/listener/mysql/session.rs
@@ -108,6 +108,17 @@
         self.next_packet(now, shared)
     }
 
+    fn on_memory_pressure(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        if matches!(self.state, SessionState::Idle) && !self.stream.input.is_empty() {
+            return self.end(now, FIRST_ANSWER_SEQUENCE, &MysqlError::out_of_memory(), shared);
+        }
+        Flow::Close
+    }
+
+    fn max_buffered_bytes(limits: &Limits) -> usize {
+        limits.mysql.max_buffered_bytes
+    }
+
     /// Only a session that is not authenticated may be evicted: the client of an authenticated one relies on
     /// its prepared statements.
     fn eviction_rank(&self) -> Option<EvictionRank> {
--- a/src/listener/server/client.rs
+++ b/src/listener/server/client.rs
@@ -30,6 +30,15 @@
         Flow::Open
     }
 
+    /// The listener's connections occupy too much memory, and this one the most of all: closes it, after an error if
+    /// its request is incomplete.
+    fn on_memory_pressure(&mut self, _: Time, _: &mut Self::Shared) -> Flow {
+        Flow::Close
+    }
+
+    /// Maximum memory of the buffers of all connections (bytes).
+    fn max_buffered_bytes(limits: &Limits) -> usize;
+
     /// The connection's place in the eviction order; `None` if it must not be evicted.
     fn eviction_rank(&self) -> Option<EvictionRank>;
 
--- a/src/listener/server/mod.rs
+++ b/src/listener/server/mod.rs
@@ -107,6 +107,19 @@
         let Some(client) = self.connections.get(token) else { return };
         let flow = answer(client, &mut self.shared);
         self.connections.settle(now, token, flow, &mut self.shared);
+        self.limit_memory(now);
+    }
+
+    /// Closes the connections that occupy the most memory until all together stay within the limit: those whose
+    /// clients send a large request slowly, or do not read their answers.
+    fn limit_memory(&mut self, now: Time) {
+        let max_bytes = C::max_buffered_bytes(&self.state().limits);
+        while self.connections.buffered_bytes() > max_bytes {
+            let Some(token) = self.connections.largest() else { return };
+            let Some(client) = self.connections.get(token) else { return };
+            let flow = client.on_memory_pressure(now, &mut self.shared);
+            self.connections.settle(now, token, flow, &mut self.shared);
+        }
     }
 
     fn state(&mut self) -> &mut ListenerState {
@@ -166,6 +179,7 @@
             self.accept(now);
         } else {
             self.connections.on_ready(now, ready, &mut self.shared);
+            self.limit_memory(now);
         }
         self.resume_accepting(now);
     }
--- a/src/net/open_connection.rs
+++ b/src/net/open_connection.rs
@@ -13,6 +13,8 @@
     pub connection: C,
     /// The events that the poller reports for it.
     pub interest: Interest,
+    /// Memory of its buffers when it was last measured (bytes).
+    pub buffered_bytes: usize,
     /// The connection closes once its output has been written and the peer has closed its side.
     pub is_finishing: bool,
     /// The write side of the socket has been shut down.
@@ -22,7 +24,7 @@
 impl<C: Connection> OpenConnection<C> {
     /// Wraps a connection that the poller watches with this interest.
     pub fn new(connection: C, interest: Interest) -> Self {
-        Self { connection, interest, is_finishing: false, is_shut_down: false }
+        Self { connection, interest, buffered_bytes: 0, is_finishing: false, is_shut_down: false }
     }
 
     /// The events that the poller should report from now on. A connection with unwritten output and a full
--- a/src/net/output.rs
+++ b/src/net/output.rs
@@ -57,6 +57,11 @@
         self.total - self.written
     }
 
+    /// Bytes of all queued messages, including the written ones of the first message.
+    pub fn stored(&self) -> usize {
+        self.total
+    }
+
     /// Counted messages that have been written completely.
     pub fn counted_sent(&self) -> u64 {
         self.counted_sent
--- a/src/net/slab.rs
+++ b/src/net/slab.rs
@@ -18,12 +18,14 @@
     poller: Rc<Poller>,
     slots: Vec<Slot<C>>,
     free_slots: Vec<u32>,
+    /// Memory of the buffers of all connections (bytes).
+    buffered_bytes: usize,
 }
 
 impl<C: Connection> ConnectionSlab<C> {
     /// Creates an empty slab. The tokens of its connections name the event handler `owner`.
     pub fn new(owner: u8, poller: Rc<Poller>) -> Self {
-        Self { owner, poller, slots: Vec::new(), free_slots: Vec::new() }
+        Self { owner, poller, slots: Vec::new(), free_slots: Vec::new(), buffered_bytes: 0 }
     }
 
     /// The number of connections.
@@ -85,6 +87,22 @@
         lowest.map(|(_, token)| token)
     }
 
+    /// Memory of the buffers of all connections (bytes).
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffered_bytes
+    }
+
+    /// The connection whose buffers occupy the most memory.
+    pub fn largest(&self) -> Option<Token> {
+        let open = self
+            .slots
+            .iter()
+            .enumerate()
+            .filter_map(|(index, slot)| Some((index, slot, slot.open.as_ref()?)));
+        let (index, slot, _) = open.max_by_key(|(_, _, open)| open.buffered_bytes)?;
+        Some(Token::new(self.owner, index as u32, slot.generation))
+    }
+
     /// Whether all queued output has been written.
     pub fn is_flushed(&mut self) -> bool {
         let mut open = self.slots.iter_mut().filter_map(|slot| slot.open.as_mut());
@@ -107,8 +125,19 @@
             || open.write(now, shared) == Flow::Close
             || self.update_interest(token).is_err()
         {
-            self.close(now, token, shared);
+            return self.close(now, token, shared);
         }
+        self.measure(token);
+    }
+
+    /// Measures the memory of a connection's buffers.
+    fn measure(&mut self, token: Token) {
+        let Some(open) = self.open(token) else { return };
+        let stream = open.connection.channel();
+        stream.release_input_memory();
+        let now = stream.buffered_bytes();
+        let before = std::mem::replace(&mut open.buffered_bytes, now);
+        self.buffered_bytes = self.buffered_bytes - before + now;
     }
 
     /// Updates the events that the poller reports for a connection, if they have changed.
@@ -130,6 +159,7 @@
         }
         let slot = &mut self.slots[token.slot as usize];
         let Some(mut open) = slot.open.take() else { return };
+        self.buffered_bytes -= open.buffered_bytes;
         slot.generation = slot.generation.wrapping_add(1);
         self.free_slots.push(token.slot);
         open.connection.closed(now, shared);
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -11,6 +11,8 @@
 
 /// Buffer size of one read (bytes).
 const READ_BYTES: usize = 16 << 10;
+/// The input buffer grows in steps of this size (bytes).
+const INPUT_STEP_BYTES: usize = 1 << 10;
 
 /// The result of a read.
 pub enum ReadStatus {
@@ -108,6 +110,18 @@
         self.output.push(MessageBytes::Shared(bytes), false)
     }
 
+    /// Memory that the buffers of input and output occupy (bytes).
+    pub fn buffered_bytes(&self) -> usize {
+        self.input.capacity() + self.output.stored()
+    }
+
+    /// Frees memory of the input buffer that its content does not need.
+    pub fn release_input_memory(&mut self) {
+        if self.input.is_empty() || self.input.capacity() > 2 * self.input.len() + INPUT_STEP_BYTES {
+            self.input.shrink_to_fit();
+        }
+    }
+
     /// Queued bytes that have not been written.
     pub fn queued(&self) -> usize {
         self.output.queued()
@@ -167,6 +181,8 @@
             Ok(0) => Ok(ReadStatus::Ended),
             Ok(count) => {
                 self.received += count as u64;
+                let needed = (self.input.len() + count).next_multiple_of(INPUT_STEP_BYTES);
+                self.input.reserve_exact(needed - self.input.len());
                 self.input.extend_from_slice(&buffer[..count]);
                 Ok(ReadStatus::Bytes)
             }
--- a/tests/daemon/mod.rs
+++ b/tests/daemon/mod.rs
@@ -99,7 +99,7 @@
 }
 
 /// Retries `find` until it returns a value.
-fn wait_for<T>(what: &str, mut find: impl FnMut() -> Option<T>) -> T {
+pub fn wait_for<T>(what: &str, mut find: impl FnMut() -> Option<T>) -> T {
     let until = Instant::now() + PATIENCE;
     loop {
         if let Some(found) = find() {
