The prepared statements of all MySQL sessions stay within a tenth of the memory

Cause: 256 statements of up to 128 KB in each session, for as long as it lives, and no limit on their sum. Change: the listener counts the memory of all prepared statements; a PREPARE beyond a tenth of the memory gets error 1041 (out of resources), and the session goes on. A close or the session's end gives it back.

--- a/src/limits/clients.rs
+++ b/src/limits/clients.rs
@@ -11,6 +11,8 @@
 const HTTP_BUFFER_MEMORY_SHARE: f64 = 0.15;
 /// Share of the memory that the buffers of `MySQL` sessions may occupy.
 const MYSQL_BUFFER_MEMORY_SHARE: f64 = 0.1;
+/// Share of the memory that prepared statements may occupy, in all sessions together.
+const STATEMENT_MEMORY_SHARE: f64 = 0.1;
 /// Lower bound of the answers that one client may leave unread before it is no longer read from (bytes).
 const MIN_UNREAD_ANSWER_BYTES: f64 = 8.0 * 1024.0;
 /// Upper bound of the same (bytes).
@@ -129,6 +131,8 @@
     pub max_statements: usize,
     /// Maximum memory of the buffers of all sessions. Beyond it, the session that occupies the most is closed.
     pub max_buffered_bytes: usize,
+    /// Maximum memory of the prepared statements of all sessions.
+    pub max_statement_bytes: usize,
     /// Maximum number of packets in one result.
     pub max_result_packets: usize,
     /// Maximum size of one result.
@@ -143,6 +147,7 @@
             write_timeout: 60.0,
             max_statements: 256,
             max_buffered_bytes: (machine.memory_mb * MYSQL_BUFFER_MEMORY_SHARE * MEGABYTE) as usize,
+            max_statement_bytes: (machine.memory_mb * STATEMENT_MEMORY_SHARE * MEGABYTE) as usize,
             max_result_packets: 65_536,
             max_result_bytes: 1 << 20,
         }
--- a/src/listener/mysql/commands.rs
+++ b/src/listener/mysql/commands.rs
@@ -61,7 +61,7 @@
     }
 
     /// Stores a prepared statement. An engine prepares it when it is first executed there.
-    fn prepare(&mut self, text: &str, shared: &Shared) -> Result<(), MysqlError> {
+    fn prepare(&mut self, text: &str, shared: &mut Shared) -> Result<(), MysqlError> {
         match setup::handle(text, shared.max_payload_bytes()) {
             Setup::Forward => {}
             Setup::Rejected(error) => {
@@ -76,6 +76,7 @@
             return Err(too_many_statements(max_statements));
         }
         let parameter_count = u16::try_from(statement.parameter_count).map_err(|_| too_many_parameters())?;
+        shared.statement_memory.reserve(&statement)?;
         self.last_statement = self.last_statement.wrapping_add(1);
         self.statements.insert(self.last_statement, statement);
         self.send(FIRST_ANSWER_SEQUENCE, &encode_prepared(self.last_statement, parameter_count));
@@ -121,7 +122,9 @@
     /// Removes a prepared statement. The command has no response.
     fn close_statement(&mut self, id: u32, shared: &mut Shared) {
         self.drop_parameters(id, shared);
-        self.statements.remove(&id);
+        if let Some(statement) = self.statements.remove(&id) {
+            shared.statement_memory.release(&statement);
+        }
     }
 
     /// Appends long data to a parameter, ahead of the execution. The command has no response, so errors are
--- a/src/listener/mysql/mod.rs
+++ b/src/listener/mysql/mod.rs
@@ -2,7 +2,8 @@
 //! and engines keep no session state.
 //!
 //! - `session` is the state machine of a session, `login` authenticates it, `commands` handles its commands;
-//! - `setup` answers the statements with which clients set up a session, `statement` classifies the others;
+//! - `setup` answers the statements with which clients set up a session, `statement` classifies the others,
+//!   `statement_memory` limits the memory of prepared ones;
 //! - `arguments` decodes the arguments of executions;
 //! - `large` receives large payloads and long data into the body store;
 //! - `answer` encodes final answers, `error` defines the errors that are sent to clients.
@@ -16,6 +17,7 @@
 mod session;
 mod setup;
 mod statement;
+mod statement_memory;
 
 use super::server::{ListenerState, Server};
 use super::sql;
@@ -27,6 +29,7 @@
 use dahliaspoke::policy::{RequestId, Settings};
 use session::Session;
 use statement::{KeySource, Statement};
+use statement_memory::StatementMemory;
 use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -66,6 +69,7 @@
     config: Rc<Mysql>,
     /// The classes, in the order of the settings.
     classes: Vec<Class>,
+    statement_memory: StatementMemory,
     /// Number of requests built so far, from which their ids are derived.
     request_count: u64,
 }
@@ -85,10 +89,12 @@
             .classes
             .iter()
             .map(|class| Class { name: class.name.as_str().into(), client_timeout: class.client_timeout });
+        let statement_memory = StatementMemory::new(limits.mysql.max_statement_bytes);
         let shared = Shared {
             state: ListenerState::new(route, limits).with_body_store(body_store),
             config,
             classes: classes.collect(),
+            statement_memory,
             request_count: 0,
         };
         Self::new(owner, socket, shared, poller)
--- a/src/listener/mysql/session.rs
+++ b/src/listener/mysql/session.rs
@@ -178,6 +178,9 @@
 
     fn closed(&mut self, _: Time, shared: &mut Shared) {
         self.release_bodies(shared);
+        for statement in self.statements.values() {
+            shared.statement_memory.release(statement);
+        }
         if let SessionState::Running(id) = std::mem::replace(&mut self.state, SessionState::Idle) {
             shared.state.report_client_gone(id);
         }
--- a/tests/slow_clients.rs
+++ b/tests/slow_clients.rs
@@ -7,7 +7,7 @@
 mod standin;
 
 use daemon::{config_with_directory, Daemon};
-use raw_mysql::{command, mysql_toml, RawSession, RowsEngine, PREPARE, QUERY};
+use raw_mysql::{command, mysql_toml, read_packet, RawSession, RowsEngine, PREPARE, QUERY};
 use recording_engine::{Behaviour, RecordingEngine};
 use rstest::rstest;
 use standin::Client;
@@ -20,6 +20,8 @@
 const MAX_HEAD_BYTES: usize = 16 * KB;
 /// More clients than the listener accepts at 1,024 descriptors.
 const CLIENTS: usize = 480;
+/// More sessions than the listener accepts at 1,024 descriptors.
+const SESSIONS: usize = 110;
 /// Bytes that a slow client writes at a time.
 const PIECE_BYTES: usize = 1500;
 /// Size of a body that the listener holds in memory at every limit (bytes).
@@ -154,6 +156,44 @@
     Daemon::start(&machine.config(engine), &[("mysql.toml", mysql_toml("e1", mysql.address))], None)
 }
 
+/// Guards against memory that grows with prepared statements: 256 of them, of up to 128 KB, in each of a hundred sessions.
+#[rstest]
+fn prepared_statements_stay_within_the_memory_limit(
+    #[values(Machine { memory_mb: 32, sockets: 256 }, Machine { memory_mb: 32, sockets: 1024 },
+        Machine { memory_mb: 192, sockets: 1024 })]
+    machine: Machine,
+) {
+    const STATEMENTS: usize = 256;
+    const OUT_OF_RESOURCES: u16 = 1041;
+    let (engine, mysql) = (silent_engine(), RowsEngine::start(1));
+    let daemon = start_with_mysql(machine, &engine, &mysql);
+    let mut refused = 0;
+    let mut sessions = Vec::new();
+    for _ in 0..SESSIONS / 5 {
+        let mut session = RawSession::connect(&daemon);
+        for number in 0..STATEMENTS {
+            let text = format!("SELECT {number} {}", "x".repeat(BODY_BYTES - 100));
+            session.send(&command(PREPARE, text.as_bytes())).expect("sent");
+            let answer = read_packet(&mut session.0).expect("an answer");
+            if answer[0] == 0xff {
+                assert_eq!(u16::from_le_bytes([answer[1], answer[2]]), OUT_OF_RESOURCES);
+                refused += 1;
+                break;
+            }
+        }
+        sessions.push(session);
+    }
+    assert!(refused > 0, "all sessions could prepare all statements");
+    machine.assert_within_limits(&[&daemon]);
+    // What a session held is free for others once it has ended.
+    drop(sessions);
+    let mut session = RawSession::connect(&daemon);
+    daemon::wait_for("memory for a statement", || {
+        session.send(&command(PREPARE, b"SELECT day FROM sales_17.orders")).expect("sent");
+        (read_packet(&mut session.0).expect("an answer")[0] == 0).then_some(())
+    });
+}
+
 /// Guards against memory that grows with commands that are not complete, and with answers that are not read.
 #[rstest]
 fn hundreds_of_slow_sessions_stay_within_the_memory_limit(
