--- a/src/core/actions.rs
+++ b/src/core/actions.rs
@@ -42,7 +42,7 @@
             Action::Fail { id } => self.finish(now, &id, Answer::Failed, routes),
             Action::SetTerms { id, memory, rank } => self.set_terms(now, &id, memory, rank, routes),
             Action::ReleaseOrderLock { id, not_before } => self.release_order_lock(now, &id, not_before),
-            Action::SetTimer { after, token } => self.timers.set(now + after, TimerEvent::Policy(token)),
+            Action::SetTimer { after, token } => self.set_timer(now + after, TimerEvent::Policy(token)),
             Action::Subscribe => {} // the directory is polled anyway
             Action::Log(line) => tracing::info!(at = now, "{line}"),
         }
@@ -98,7 +98,7 @@
         let attempt_id = AttemptId { request: id, number };
         self.counters.sends += 1;
         self.trace.attempt_sent(now, &attempt_id, &attempt.engine);
-        self.timers.set(deadline, TimerEvent::AttemptDeadline(attempt_id));
+        self.set_timer(deadline, TimerEvent::AttemptDeadline(attempt_id));
         upstream.start(now, attempt);
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -200,6 +200,18 @@
         }
     }
 
+    /// Sets a timer. Those of requests and attempts that have ended are removed now and then: clients choose how
+    /// far ahead they are, and how many.
+    fn set_timer(&mut self, at: Time, event: TimerEvent) {
+        self.timers.set(at, event);
+        let (policy, requests) = (&self.policy, &self.requests);
+        self.timers.discard_stale(|event| match event {
+            TimerEvent::Policy(token) => policy.needs_timer(*token),
+            TimerEvent::AttemptDeadline(attempt) => requests.is_running(attempt),
+            TimerEvent::OrderLockPoll | TimerEvent::OrderLockRelease(_) => true,
+        });
+    }
+
     /// Handles the timers that are due.
     pub fn on_timer(&mut self, now: Time, routes: &mut [Route]) {
         if now >= self.next_totals {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -133,6 +133,16 @@
         self.engines.iter().filter(|engine| engine.is_present()).map(EngineStatus::from)
     }
 
+    /// Whether the timer with this token is still needed: that of a request which has its answer is not. A caller may
+    /// drop a timer that is not needed; its event would change nothing.
+    #[must_use]
+    pub fn needs_timer(&self, token: u64) -> bool {
+        match token {
+            HOUSEKEEPING_TOKEN | DISCOVERY_TOKEN => true,
+            number => self.requests.get(number).is_some_and(|request| !request.finished),
+        }
+    }
+
     /// Handles one event at time `now` (seconds on the caller's clock, which must not go backwards) and
     /// appends the resulting actions to `out`.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
--- a/src/upstream/resp/dispatch.rs
+++ b/src/upstream/resp/dispatch.rs
@@ -71,6 +71,11 @@
         if is_connecting || self.pool.slab.get(token).is_some_and(is_queued) {
             self.shared.timers.set(send_deadline, TimerEvent::SendDeadline(key));
         }
+        let attempts = &self.pool.attempts;
+        self.shared.timers.discard_stale(|event| match event {
+            TimerEvent::SecondConnect(key) | TimerEvent::SendDeadline(key) => attempts.contains_key(key),
+            TimerEvent::IdleDeadline(_) | TimerEvent::ReplyDeadline(_) | TimerEvent::DrainDeadline(_) => true,
+        });
     }
 
     /// Assigns waiting attempts to other connections. An attempt whose established connection ended before it
