A request id that may have run does not run again, also at the other process of an upgrade

Cause: an id was known only while its request or an attempt was open, and to one process. Why it works: the id is taken before anything is sent, in all processes that share the clients.

--- a/src/core/actions.rs
+++ b/src/core/actions.rs
@@ -123,13 +123,13 @@
         let id = attempt.request.clone();
         let event = self.attempt_end(now, attempt, outcome, AttemptReport::default());
         self.events.push_back(event);
-        self.requests.remove_finished(&id);
+        self.remove_finished(now, &id);
     }
 
     /// Sends a request the final answer that the policy decided on.
     fn finish(&mut self, now: Time, id: &RequestId, answer: Answer, routes: &mut [Route]) {
         self.answer(now, id, answer, routes);
-        self.requests.remove_finished(id);
+        self.remove_finished(now, id);
     }
 
     /// Sets the memory and priority of a request's attempts. Running attempts get the new priority as well.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -29,6 +29,7 @@
 
 use crate::net::{Time, TimerQueue};
 use crate::order_lock::{ticket::Ticket, OrderLocks};
+use crate::request_ids::RequestIds;
 use dahliaspoke::policy::{
     Action, AttemptEnd, EngineEntry, EngineId, Event, ListScope, OrderLock, Outcome, Policy, Progress, Query,
     RequestId, Settings,
@@ -55,6 +56,25 @@
     OrderLockRelease(Ticket),
 }
 
+/// What the processes of an upgrade know of each other's requests.
+pub struct SharedLocks {
+    /// The locks of order keys.
+    pub order_locks: OrderLocks,
+    /// The ids of requests that may have run.
+    pub request_ids: RequestIds,
+}
+
+impl SharedLocks {
+    /// Opens the files that the processes share; `shares_clients`: whether there may be another process.
+    pub fn open(shares_clients: bool) -> Self {
+        if shares_clients {
+            Self { order_locks: OrderLocks::open(), request_ids: RequestIds::open_shared() }
+        } else {
+            Self { order_locks: OrderLocks::unshared(), request_ids: RequestIds::default() }
+        }
+    }
+}
+
 /// The state of all requests, and the policy that decides on them.
 pub struct Core {
     policy: Policy,
@@ -65,6 +85,7 @@
     requests: RequestTable,
     /// The locks of order keys among the processes of an upgrade.
     order_locks: OrderLocks,
+    request_ids: RequestIds,
     /// Whether [`TimerEvent::OrderLockPoll`] is set.
     polls_order_locks: bool,
     timers: TimerQueue<TimerEvent>,
@@ -86,9 +107,10 @@
         mut settings: Settings,
         seed: u64,
         may_pass_through: bool,
-        order_locks: OrderLocks,
+        shared: SharedLocks,
         trace: Trace,
     ) -> Self {
+        let SharedLocks { order_locks, request_ids } = shared;
         let answers = vec![Answers::default(); settings.classes.len()];
         let fixed_settings = FixedSettings::of(&settings);
         let derived_classes = DerivedClasses::append_to(&mut settings, may_pass_through);
@@ -99,6 +121,7 @@
             derived_classes,
             requests: RequestTable::default(),
             order_locks,
+            request_ids,
             polls_order_locks: false,
             timers: TimerQueue::default(),
             events: VecDeque::new(),
@@ -173,7 +196,7 @@
             ListenerEvent::ClientGone(id) => {
                 if self.withdraw(&id) {
                     self.feed(now, Event::ClientGone { id: id.clone() }, routes);
-                    self.requests.remove_finished(&id);
+                    self.remove_finished(now, &id);
                 }
             }
         }
@@ -231,9 +254,10 @@
     fn receive(&mut self, now: Time, request: Request, routes: &mut [Route]) {
         self.counters.received += 1;
         self.trace.request_received(now, &request);
-        // A request with a duplicate id fails: the policy indexes requests by id, and engines are sent the
-        // client's id unchanged.
-        if self.requests.get(&request.id).is_some() {
+        // A request with the id of one that is open or may have run fails: it must not run again, and the policy and
+        // the engines know requests by this id.
+        let is_open = self.requests.get(&request.id).is_some();
+        if is_open || !self.request_ids.begin(now, &request.id) {
             self.counters.answers[request.class].count(&Answer::Failed);
             routes[request.route].listener.answer(now, &request.id, Answer::Failed);
             return;
@@ -322,7 +346,14 @@
         let id = attempt.request.clone();
         let event = self.attempt_end(now, attempt, outcome, report);
         self.feed(now, event, routes);
-        self.requests.remove_finished(&id);
+        self.remove_finished(now, &id);
+    }
+
+    /// Removes a request if it is finished.
+    fn remove_finished(&mut self, now: Time, id: &RequestId) {
+        if let Some(request) = self.requests.remove_finished(id) {
+            self.request_ids.end(now, id, request.may_have_run);
+        }
     }
 
     /// Counts an attempt's end and returns the event that reports it to the policy.
@@ -334,6 +365,9 @@
         report: AttemptReport,
     ) -> Event {
         self.counters.count_attempt(outcome);
+        if let Some(request) = self.requests.get_mut(&attempt.request) {
+            request.may_have_run |= !outcome.never_ran();
+        }
         self.trace.attempt_ended(now, &attempt, outcome, report);
         let finished = !self.requests.is_open(&attempt.request);
         let AttemptId { request: id, number: attempt } = attempt;
--- a/src/core/request_table.rs
+++ b/src/core/request_table.rs
@@ -60,6 +60,8 @@
     pub priority: u8,
     status: RequestStatus,
     attempts: Vec<AttemptState>,
+    /// Whether an attempt has ended in a way that does not prove that it never ran.
+    pub may_have_run: bool,
 }
 
 impl RequestState {
@@ -74,6 +76,7 @@
             priority: DEFAULT_PRIORITY,
             status: RequestStatus::Open,
             attempts: Vec::new(),
+            may_have_run: false,
         }
     }
 
@@ -179,11 +182,9 @@
         std::mem::replace(&mut attempt.status, AttemptStatus::Ended) == AttemptStatus::Running
     }
 
-    /// Removes a request if it is finished.
-    pub(super) fn remove_finished(&mut self, id: &RequestId) {
-        if self.get(id).is_some_and(RequestState::is_finished) {
-            self.requests.remove(id);
-        }
+    /// Removes a request if it is finished, and returns it.
+    pub(super) fn remove_finished(&mut self, id: &RequestId) -> Option<RequestState> {
+        self.get(id).is_some_and(RequestState::is_finished).then(|| self.requests.remove(id))?
     }
 
     /// The request that the body belongs to.
--- a/src/daemon/startup.rs
+++ b/src/daemon/startup.rs
@@ -16,7 +16,7 @@
 use crate::admin::AdminInterface;
 use crate::body_store::{self, BodyStoreFile};
 use crate::config::{read_optional, Config};
-use crate::core::{Core, Trace};
+use crate::core::{Core, SharedLocks, Trace};
 use crate::discovery::consul::{self, ConsulConfig, ConsulDiscovery};
 use crate::discovery::dns::{DnsConfig, DnsDiscovery};
 use crate::discovery::endpoint_json::InitialEndpoints;
@@ -26,7 +26,6 @@
 use crate::listener::mysql::{MysqlListener, MysqlListenerOptions};
 use crate::mysql::{self, config::Mysql};
 use crate::net::{inherited_listener, Clock, Poller, SuspendDetector, Time, Token};
-use crate::order_lock::OrderLocks;
 use crate::store::{self, LoopContext, Store};
 use crate::upstream::mysql::MysqlUpstream;
 use crate::upstream::resp::RespUpstream;
@@ -249,8 +248,8 @@
         let Resources { poller, limits, body_store, .. } = resources;
         let class_names = class_names(&config.settings);
         let shares_listener = config.inherited_listener.is_some();
-        let order_locks = if shares_listener { OrderLocks::open() } else { OrderLocks::unshared() };
-        let core = Core::new(config.settings, config.seed, body_store.is_some(), order_locks, trace);
+        let shared = SharedLocks::open(shares_listener);
+        let core = Core::new(config.settings, config.seed, body_store.is_some(), shared, trace);
         let maintenance = Maintenance::open(now, handlers.store.as_ref());
         let store_sync = StoreSync::new(now, handlers.store.as_ref());
         let mut daemon = Self {
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,6 +16,7 @@
 mod mysql;
 mod net;
 mod order_lock;
+mod request_ids;
 mod shared_file;
 mod store;
 mod upstream;
--- a/src/order_lock/mod.rs
+++ b/src/order_lock/mod.rs
@@ -12,7 +12,7 @@
 //!
 //! The locks are kept in memory by the kernel, so no call waits for a disk after the file was opened.
 
-mod lock_file;
+pub mod lock_file;
 pub mod queue;
 pub mod ticket;
 
