Attempts do not reach a new process at the former address of their engine

Cause: attempts that wait on a connection in progress were not checked when the engine's address changed, and the MySQL upstream compared no addresses, neither for idle connections nor for reused ones. Change: both upstreams leave the connections to a former address: what was not sent moves (RESP) or ends as unsent (MySQL), idle ones are closed. MySQL closes a departing engine whose address a ready one has. Why it works: a connection is used only while its address is the one that its engine has.

--- a/src/daemon/routes.rs
+++ b/src/daemon/routes.rs
@@ -95,7 +95,7 @@
         self.resp.update_engine(now, notified_at, &entry.id, entry.lifecycle, *address);
         if let Some(mysql) = &mut self.mysql {
             let ip = address.map(|address| address.ip());
-            mysql.upstream.update_engine(notified_at, &entry.id, entry.lifecycle, ip);
+            mysql.upstream.update_engine(now, notified_at, &entry.id, entry.lifecycle, ip);
         }
     }
 
--- a/src/upstream/engines.rs
+++ b/src/upstream/engines.rs
@@ -56,6 +56,13 @@
         others.map(|(other, _)| other.clone()).collect()
     }
 
+    /// Those of them that are draining or gone.
+    pub fn departing_others_at(&self, id: &EngineId, address: SocketAddr) -> Vec<EngineId> {
+        let mut others = self.others_at(id, address);
+        others.retain(|other| self.drain_deadline(other) < Time::INFINITY);
+        others
+    }
+
     /// Forbids new sends to an engine from now on.
     pub fn close(&mut self, now: Time, id: &EngineId) {
         if let Some(engine) = self.0.get_mut(id) {
--- a/src/upstream/mysql/connection.rs
+++ b/src/upstream/mysql/connection.rs
@@ -11,6 +11,7 @@
 use crate::net::{BufferedStream, Connection, Flow, Time, Token};
 use crate::upstream::events::{outcome_of_close, AttemptKey};
 use crate::upstream::pool::EngineConnection;
+use std::net::SocketAddr;
 
 /// What a connection is waiting for.
 pub enum ConnectionState {
@@ -44,6 +45,8 @@
     pub stream: BufferedStream,
     /// Its own token.
     pub token: Token,
+    /// The address that it was opened to.
+    address: SocketAddr,
     /// What it is waiting for.
     pub state: ConnectionState,
     /// The attempt in flight on this connection.
@@ -57,11 +60,12 @@
 }
 
 impl MysqlConnection {
-    /// Wraps a connection that has just been opened and must be ready by `ready_deadline`.
-    pub fn new(token: Token, stream: BufferedStream, ready_deadline: Time) -> Self {
+    /// Wraps a connection that has just been opened to `address` and must be ready by `ready_deadline`.
+    pub fn new(token: Token, stream: BufferedStream, address: SocketAddr, ready_deadline: Time) -> Self {
         Self {
             stream,
             token,
+            address,
             state: ConnectionState::AwaitingGreeting,
             running: None,
             prepared: PreparedStatements::default(),
@@ -210,6 +214,10 @@
         self.stream.counted_sent()
     }
 
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     fn limit_send_deadlines(&mut self, deadline: Time) {
         if let Some(running) = &mut self.running {
             running.send_deadline = running.send_deadline.min(deadline);
--- a/src/upstream/mysql/mod.rs
+++ b/src/upstream/mysql/mod.rs
@@ -25,7 +25,7 @@
 use connection::{ConnectionState, MysqlConnection, RunningAttempt};
 use dahliaspoke::policy::{EngineId, Lifecycle, RequestId};
 use shared::{Shared, TimerEvent};
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
 /// The `MySQL` connections to all engines.
@@ -67,6 +67,7 @@
     /// `notified_at`. `address` is `None` if the endpoint set does not name one.
     pub fn update_engine(
         &mut self,
+        now: Time,
         notified_at: Time,
         id: &EngineId,
         lifecycle: Lifecycle,
@@ -77,6 +78,35 @@
         if let Some(deadline) = self.pool.update_engine(id, lifecycle, address, drain_deadline) {
             self.shared.timers.set(deadline, TimerEvent::DrainDeadline(id.clone()));
         }
+        if let Some(address) = address.filter(|_| lifecycle == Lifecycle::Ready) {
+            self.close_former_engines(now, id, address);
+        }
+        self.leave_former_address(now, id);
+    }
+
+    /// An address now belongs to this engine: attempts that still wait for a connection to one that has gone from
+    /// there must not reach this one. Engines that share an address on purpose are all ready.
+    fn close_former_engines(&mut self, now: Time, id: &EngineId, address: SocketAddr) {
+        for former in self.pool.engines.departing_others_at(id, address) {
+            self.pool.engines.close(now, &former);
+            self.end_drain(now, &former);
+        }
+    }
+
+    /// The engine may have another address now: connections to the former one end, unless a statement was sent
+    /// there.
+    fn leave_former_address(&mut self, now: Time, id: &EngineId) {
+        for token in self.pool.connections_elsewhere(id) {
+            self.close_unless_sent(now, token);
+        }
+    }
+
+    /// Closes a connection whose attempt, if it has one, has not been sent.
+    fn close_unless_sent(&mut self, now: Time, token: Token) {
+        let Some(connection) = self.pool.slab.get(token) else { return };
+        if connection.running.is_none() || connection.withdraw() {
+            self.pool.slab.close(now, token, &mut self.shared);
+        }
     }
 
     /// Closes a connection that was not ready in time or has been idle too long.
@@ -98,10 +128,7 @@
         }
         self.pool.remove_ended(id);
         for token in self.pool.connections_of(id) {
-            let Some(connection) = self.pool.slab.get(token) else { continue };
-            if connection.running.is_none() || connection.withdraw() {
-                self.pool.slab.close(now, token, &mut self.shared);
-            }
+            self.close_unless_sent(now, token);
         }
         if !self.pool.engines.remove_closed(now, id) {
             let next_check = now + self.shared.limits.engines.idle_timeout;
@@ -119,9 +146,12 @@
 
     fn idle_connection(&mut self, attempt: &Attempt) -> Option<Token> {
         let ConnectionPool { slab, engines, .. } = &mut self.pool;
-        let is_idle = |connection: &&mut MysqlConnection| matches!(connection.state, ConnectionState::Idle);
+        let engine = engines.get(&attempt.engine)?;
+        let is_idle = |connection: &&mut MysqlConnection| {
+            matches!(connection.state, ConnectionState::Idle) && connection.address() == engine.address
+        };
         let mut first_idle = None;
-        for token in &engines.get(&attempt.engine)?.connections {
+        for token in &engine.connections {
             let Some(connection) = slab.get(*token).filter(is_idle) else { continue };
             if connection.prepared.find(&attempt.payload.statement).is_some() {
                 return Some(*token);
@@ -140,9 +170,10 @@
         if !self.pool.has_capacity(&attempt.engine, pool_limits) {
             return None;
         }
-        let stream = BufferedStream::connect(self.pool.engines.get(&attempt.engine)?.address).ok()?;
+        let address = self.pool.engines.get(&attempt.engine)?.address;
+        let stream = BufferedStream::connect(address).ok()?;
         let ready_deadline = (now + limits.connection_wait).min(attempt.send_deadline);
-        let connection = |token| MysqlConnection::new(token, stream, ready_deadline);
+        let connection = |token| MysqlConnection::new(token, stream, address, ready_deadline);
         let token = self.pool.add(&attempt.engine, connection)?;
         self.shared.timers.set(ready_deadline, TimerEvent::IdleDeadline(token));
         Some(token)
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -14,6 +14,9 @@
     /// Attempts that have been written completely on this connection.
     fn sent_attempts(&self) -> u64;
 
+    /// The address that it was opened to.
+    fn address(&self) -> SocketAddr;
+
     /// Lowers the send deadlines of the connection's attempts to `deadline` at most. Called when the engine
     /// starts to drain.
     fn limit_send_deadlines(&mut self, deadline: Time);
@@ -87,6 +90,16 @@
         self.engines.get(id).map(|engine| engine.connections.clone()).unwrap_or_default()
     }
 
+    /// The connections of an engine that were opened to an address that it no longer has. Another process may be
+    /// there by now.
+    pub fn connections_elsewhere(&mut self, id: &EngineId) -> Vec<Token> {
+        let Some(address) = self.engines.get(id).map(|engine| engine.address) else { return Vec::new() };
+        let slab = &mut self.slab;
+        let mut tokens = self.engines.get(id).map(|engine| engine.connections.clone()).unwrap_or_default();
+        tokens.retain(|token| slab.get(*token).is_some_and(|connection| connection.address() != address));
+        tokens
+    }
+
     /// Removes the connections that have ended from their engine's list.
     pub fn remove_ended(&mut self, id: &EngineId) {
         let slab = &mut self.slab;
--- a/src/upstream/resp/connection.rs
+++ b/src/upstream/resp/connection.rs
@@ -123,6 +123,10 @@
         self.stream.counted_sent()
     }
 
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     fn limit_send_deadlines(&mut self, deadline: Time) {
         for running in self.attempts.values_mut() {
             running.pending.send_deadline = running.pending.send_deadline.min(deadline);
--- a/src/upstream/resp/mod.rs
+++ b/src/upstream/resp/mod.rs
@@ -88,9 +88,26 @@
         if let Some(address) = address.filter(|_| lifecycle == Lifecycle::Ready) {
             self.close_former_engines(now, id, address);
         }
+        self.leave_former_address(now, id);
         self.send_waiting(now);
     }
 
+    /// The engine may have another address now: attempts that still wait for a connection to the former one are
+    /// moved. Those that have been sent go on.
+    fn leave_former_address(&mut self, now: Time, id: &EngineId) {
+        for token in self.pool.connections_elsewhere(id) {
+            let Some(connection) = self.pool.slab.get(token) else { continue };
+            let ids: Vec<_> = connection.attempts.keys().cloned().collect();
+            for id in ids {
+                let withdrawn = self.withdraw(now, token, &id);
+                self.shared.moved.extend(withdrawn.map(|running| running.pending));
+            }
+            if self.pool.slab.get(token).is_some_and(|connection| connection.attempts.is_empty()) {
+                self.pool.slab.close(now, token, &mut self.shared);
+            }
+        }
+    }
+
     /// An address now belongs to this engine: attempts that still wait for a connection to another engine at
     /// that address must not reach this one.
     fn close_former_engines(&mut self, now: Time, id: &EngineId, address: SocketAddr) {
--- a/tests/raw_mysql/mod.rs
+++ b/tests/raw_mysql/mod.rs
@@ -100,7 +100,10 @@
 
 impl RowsEngine {
     pub fn start(rows: usize) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        Self::start_on(TcpListener::bind("127.0.0.1:0").expect("a port"), rows)
+    }
+
+    pub fn start_on(listener: TcpListener, rows: usize) -> Self {
         let address = listener.local_addr().expect("bound");
         let (rows, delay_ms) = (Arc::new(AtomicUsize::new(rows)), Arc::default());
         let engine = Self { address, rows, delay_ms, statements: Arc::default() };
