Watchers follow a store that was initialized anew: versions carry the store's identity

Cause: a watcher compares versions, and nothing said which store a version belongs to. Change: watchers name the store of their version (WATCH VERSION STORE ID), members answer with theirs and, if it is another one, with all values. The new copy replaces the former one once its member is in contact with a quorum. Earlier versions on either side are understood. Why it works: versions are compared within one store only, and a member that is left of a former store is never in contact with a quorum.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -133,8 +133,8 @@
         self.engines.iter().filter(|engine| engine.is_present()).map(EngineStatus::from)
     }
 
-    /// Whether the timer with this token is still needed: that of a request which has its answer is not. A caller may
-    /// drop a timer that is not needed; its event would change nothing.
+    /// Whether the timer with this token is still needed: that of a request which has its answer is not. A
+    /// caller may drop a timer that is not needed; its event would change nothing.
     #[must_use]
     pub fn needs_timer(&self, token: u64) -> bool {
         match token {
--- a/src/store/member/requests.rs
+++ b/src/store/member/requests.rs
@@ -27,10 +27,10 @@
             Request::Read { key, with_version } => replica.read(now, connection, key, with_version),
             Request::Change(command) => replica.propose(now, connection, &command),
             // What a member knows that does not take part is no longer or not yet that of the store.
-            Request::Watch(_) if !replica.participates() => {
+            Request::Watch { .. } if !replica.participates() => {
                 self.answer(now, connection, &Err(CallError::NotParticipating));
             }
-            Request::Watch(version) => self.start_watch(now, connection, version),
+            Request::Watch { version, store } => self.start_watch(now, connection, version, store),
             Request::Status => {
                 let status = Reply::Text(Some(self.status(now).into()));
                 self.answer(now, connection, &Ok(status));
--- a/src/store/member/watchers.rs
+++ b/src/store/member/watchers.rs
@@ -2,7 +2,7 @@
 
 use super::Member;
 use crate::net::{Time, Token};
-use crate::store::wire::{encode_change, encode_progress, encode_resync};
+use crate::store::wire::{encode_change, encode_progress, encode_resync, encode_store, StoreId};
 use dahliaspoke_raft::state_machine::KeyChange;
 use dahliaspoke_raft::Index;
 use std::collections::HashSet;
@@ -48,9 +48,23 @@
 }
 
 impl Member {
-    /// Makes a connection a watcher of all changes after a version.
-    pub(super) fn start_watch(&mut self, now: Time, connection: Token, version: Index) {
+    /// Makes a connection a watcher of all changes after a version. A watcher of another store, as the one that was
+    /// there before this one was initialized, is sent all values.
+    pub(super) fn start_watch(
+        &mut self,
+        now: Time,
+        connection: Token,
+        version: Index,
+        store: Option<StoreId>,
+    ) {
         self.watchers.connections.insert(connection);
+        let own_store = self.replica.raft.cluster();
+        if store.is_some() {
+            self.connections.send(now, connection, encode_store(own_store));
+        }
+        if store.is_some_and(|store| store != own_store) {
+            return self.send_resync(now, connection);
+        }
         let state_machine = &self.replica.state_machine;
         let Some(changes) = state_machine.changes_since(version) else {
             return self.send_resync(now, connection);
--- a/src/store/watcher/connection.rs
+++ b/src/store/watcher/connection.rs
@@ -5,12 +5,23 @@
 use crate::store::wire::{decode_watch_event, WatchEvent};
 use std::collections::VecDeque;
 
-/// A watch event, and the connection that received it.
+/// The start of the answer of a member that does not know the request.
+const UNKNOWN_REQUEST: &[u8] = b"-ERR ";
+
+/// What a connection has received, and which one it was.
 pub struct ReceivedEvent {
     /// The connection.
     pub connection: Token,
-    /// The event.
-    pub event: WatchEvent,
+    /// What it has received.
+    pub event: ReceivedEventKind,
+}
+
+/// What a connection has received.
+pub enum ReceivedEventKind {
+    /// An event of the watch.
+    Event(WatchEvent),
+    /// The member, of an earlier version, does not know the request.
+    UnknownRequest,
 }
 
 /// A connection to a watched member.
@@ -30,9 +41,14 @@
 
     fn readable(&mut self, _: Time, received: &mut Self::Shared) -> Flow {
         let connection = self.token;
+        let mut push = |event| received.push_back(ReceivedEvent { connection, event });
+        if self.channel.input.starts_with(UNKNOWN_REQUEST) {
+            push(ReceivedEventKind::UnknownRequest);
+            return Flow::Close;
+        }
         read_arrays(&mut self.channel, |values| match decode_watch_event(values) {
             Ok(event) => {
-                received.push_back(ReceivedEvent { connection, event });
+                push(ReceivedEventKind::Event(event));
                 Flow::Open
             }
             Err(_) => Flow::Close,
--- a/src/store/watcher/mod.rs
+++ b/src/store/watcher/mod.rs
@@ -1,13 +1,13 @@
-//! Watches a member of the store, for a daemon whose own member does not take part or that has none, and switches to the next if the connection is lost or the member
-//! reports no progress.
+//! Watches a member of the store, for a daemon whose own member does not take part or that has none, and switches to
+//! the next one if the connection is lost or the member reports no progress.
 
 mod connection;
 mod view;
 
-use super::wire::{encode_watch, WatchEvent};
+use super::wire::{encode_watch, StoreId, WatchEvent};
 use super::{Config, LoopContext};
 use crate::net::{BufferedStream, ConnectionSlab, EventHandler, Ready, Time, Token};
-use connection::{ReceivedEvent, WatchConnection};
+use connection::{ReceivedEvent, ReceivedEventKind, WatchConnection};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 pub use view::View;
@@ -32,6 +32,11 @@
     connections: ConnectionSlab<WatchConnection>,
     received: VecDeque<ReceivedEvent>,
     view: View,
+    /// The copy of another store that the watched member has, until that member is known to be up to date: a member
+    /// that is left of a former store must not replace a newer one.
+    candidate: Option<View>,
+    /// The next request does not name the store, since a member of an earlier version did not know the one that did.
+    omits_store: bool,
 }
 
 impl Watcher {
@@ -48,6 +53,8 @@
             connections: ConnectionSlab::new(context.watcher_owner, context.poller.clone()),
             received: VecDeque::new(),
             view: View::default(),
+            candidate: None,
+            omits_store: false,
         }
     }
 
@@ -87,7 +94,8 @@
         if let Some(token) = self.connection.take() {
             self.connections.close(now, token, &mut self.received);
         }
-        self.rotation += 1;
+        // The same member is asked again, in the earlier form.
+        self.rotation += usize::from(!self.omits_store);
         let index = self.rotation % self.members.len().max(1);
         if let Some(member) = self.members.get(index).copied() {
             self.silence_deadline = now + SILENCE_TIMEOUT;
@@ -97,8 +105,10 @@
 
     /// Starts to watch a member, from the version of this watcher's copy.
     fn connect(&mut self, member: SocketAddr) -> Option<Token> {
+        self.candidate = None;
+        let store = (!std::mem::take(&mut self.omits_store)).then(|| self.view.store());
         let mut channel = BufferedStream::connect(member).ok()?;
-        channel.push(encode_watch(self.view.version()));
+        channel.push(encode_watch(self.view.version(), store));
         self.connections.add(|token| Some(WatchConnection { channel, token })).ok()?
     }
 
@@ -109,16 +119,48 @@
                 continue;
             }
             match event {
-                WatchEvent::Change(change) => self.view.apply(change),
-                WatchEvent::Resync(version) => self.view.resync(version),
-                WatchEvent::Progress(progress) => {
-                    if self.view.advance(now, progress) {
-                        self.silence_deadline = now + SILENCE_TIMEOUT;
-                    }
+                ReceivedEventKind::Event(event) => self.apply(now, event),
+                ReceivedEventKind::UnknownRequest => self.omits_store = true,
+            }
+        }
+    }
+
+    fn apply(&mut self, now: Time, event: WatchEvent) {
+        match event {
+            WatchEvent::Store(store) => self.begin_store(store),
+            WatchEvent::Change(change) => self.received_copy().apply(change),
+            WatchEvent::Resync(version) => self.received_copy().resync(version),
+            WatchEvent::Progress(progress) => {
+                if self.received_copy().advance(now, progress) && self.accept_candidate(now) {
+                    self.silence_deadline = now + SILENCE_TIMEOUT;
                 }
             }
         }
     }
+
+    /// The events that follow are about this store.
+    fn begin_store(&mut self, store: StoreId) {
+        if self.view.is_empty() {
+            self.view = View::of_store(store);
+        }
+        self.candidate = (store != self.view.store()).then(|| View::of_store(store));
+    }
+
+    /// The copy that the events of the watched member are about.
+    fn received_copy(&mut self) -> &mut View {
+        self.candidate.as_mut().unwrap_or(&mut self.view)
+    }
+
+    /// Replaces the copy by that of another store, if there is one and its member is up to date. Returns whether the
+    /// copy is that of the watched member.
+    fn accept_candidate(&mut self, now: Time) -> bool {
+        let Some(candidate) = self.candidate.take_if(|candidate| candidate.is_current(now)) else {
+            return self.candidate.is_none();
+        };
+        tracing::info!(at = now, part = "store", "follows another store: all values are replaced");
+        self.view.replace(candidate);
+        true
+    }
 }
 
 impl EventHandler for Watcher {
--- a/src/store/watcher/view.rs
+++ b/src/store/watcher/view.rs
@@ -1,7 +1,7 @@
 //! A watcher's copy of the store.
 
 use crate::net::Time;
-use crate::store::wire::WatchProgress;
+use crate::store::wire::{StoreId, WatchProgress};
 use crate::store::Freshness;
 use dahliaspoke_raft::state_machine::{KeyChange, Value};
 use dahliaspoke_raft::Index;
@@ -13,6 +13,8 @@
 /// A watcher's copy of the store, built from watch events.
 #[derive(Default)]
 pub struct View {
+    /// The store that the versions belong to; 0 if it is not known.
+    store: StoreId,
     values: BTreeMap<String, Value>,
     /// All changes up to this version are in the copy.
     version: Index,
@@ -24,6 +26,31 @@
 }
 
 impl View {
+    /// An empty copy of a store.
+    pub fn of_store(store: StoreId) -> Self {
+        Self { store, ..Self::default() }
+    }
+
+    /// The store that the versions belong to; 0 if it is not known.
+    pub fn store(&self) -> StoreId {
+        self.store
+    }
+
+    /// Whether nothing was received yet.
+    pub fn is_empty(&self) -> bool {
+        self.version == 0 && self.values.is_empty()
+    }
+
+    /// Replaces this copy by that of another store: all keys of both may have changed.
+    pub fn replace(&mut self, other: View) {
+        let former = std::mem::replace(self, other);
+        let removed = former.values.into_keys().filter(|key| !self.values.contains_key(key));
+        let mut changed_keys = former.changed_keys;
+        changed_keys.extend(removed);
+        changed_keys.extend(self.values.keys().cloned());
+        self.changed_keys = changed_keys;
+    }
+
     /// The version up to which the copy has all changes.
     pub fn version(&self) -> Index {
         self.version
--- a/src/store/wire/decode.rs
+++ b/src/store/wire/decode.rs
@@ -78,7 +78,10 @@
         ["SET", key, value] => session.change(key, Some(value), None),
         ["CAS", key, version, value] => session.change(key, Some(value), Some(number(version)?)),
         ["DEL", key] => session.change(key, None, None),
-        ["WATCH", version] => Request::Watch(number(version)?),
+        ["WATCH", version] => Request::Watch { version: number(version)?, store: None },
+        ["WATCH", version, "STORE", store] => {
+            Request::Watch { version: number(version)?, store: Some(number(store)?) }
+        }
         ["STATUS"] => Request::Status,
         ["INIT"] => Request::Init,
         ["MEMBER", "ADD", name] => Request::AddMember((*name).into()),
@@ -108,6 +111,7 @@
     match texts(values)?.as_slice() {
         ["PUT", version, key, text] => change(version, key, Some(text)),
         ["GONE", version, key] => change(version, key, None),
+        ["STORE", store] => Ok(WatchEvent::Store(number(store)?)),
         ["AT", version, age_ms] => {
             let age = number(age_ms)? as Time / 1000.0;
             Ok(WatchEvent::Progress(WatchProgress { version: number(version)?, age }))
--- a/src/store/wire/encode.rs
+++ b/src/store/wire/encode.rs
@@ -1,6 +1,6 @@
 //! Encodes answers, messages between members, and watch events.
 
-use super::{Answer, CallError, Hello, Reply};
+use super::{Answer, CallError, Hello, Reply, StoreId};
 use crate::net::resp::{array, bulk};
 use dahliaspoke_raft::codec::{self, VERSION};
 use dahliaspoke_raft::message::Message;
@@ -50,10 +50,20 @@
     array(&[b"RAFT", &codec::encode(message)])
 }
 
-/// Encodes the request for all changes after a version.
+/// Encodes the request for all changes after a version of a store, which earlier versions of members do not know.
 #[must_use]
-pub fn encode_watch(version: Index) -> Vec<u8> {
-    array(&[b"WATCH", version.to_string().as_bytes()])
+pub fn encode_watch(version: Index, store: Option<StoreId>) -> Vec<u8> {
+    let version = version.to_string();
+    match store {
+        Some(store) => array(&[b"WATCH", version.as_bytes(), b"STORE", store.to_string().as_bytes()]),
+        None => array(&[b"WATCH", version.as_bytes()]),
+    }
+}
+
+/// Encodes a watch event: the store that the events that follow are about.
+#[must_use]
+pub fn encode_store(store: StoreId) -> Vec<u8> {
+    array(&[b"STORE", store.to_string().as_bytes()])
 }
 
 /// Encodes a watch event: a change or, during a resync, a key's value.
--- a/src/store/wire/mod.rs
+++ b/src/store/wire/mod.rs
@@ -9,7 +9,8 @@
 pub use answer::{Answer, CallError, Reply};
 pub use decode::{decode_request, decode_watch_event, DecodeError};
 pub use encode::{
-    encode_answer, encode_change, encode_hello, encode_message, encode_progress, encode_resync, encode_watch,
+    encode_answer, encode_change, encode_hello, encode_message, encode_progress, encode_resync, encode_store,
+    encode_watch,
 };
 
 use crate::net::Time;
@@ -48,7 +49,12 @@
     /// A change.
     Change(Command),
     /// Watch all changes after this version.
-    Watch(Index),
+    Watch {
+        /// The version up to which the watcher has all changes.
+        version: Index,
+        /// The store that the version belongs to, 0 if the watcher knows none; `None` from watchers that do not tell.
+        store: Option<StoreId>,
+    },
     /// Report the member's status.
     Status,
     /// Bootstrap a log with this member as the only one.
@@ -72,11 +78,16 @@
     pub age: Time,
 }
 
+/// The id of a store, drawn when it was initialized: versions of different stores cannot be compared.
+pub type StoreId = u64;
+
 /// An event of a watch.
 #[derive(Debug, PartialEq)]
 pub enum WatchEvent {
     /// A change of a key or, during a resync, its current value.
     Change(KeyChange),
+    /// The store that the events that follow are about; the first event for watchers that have named theirs.
+    Store(StoreId),
     /// All changes up to the reported version were sent.
     Progress(WatchProgress),
     /// Everything sent before is invalid; all values as of this version follow, then a [`WatchEvent::Progress`].
--- a/tests/store_members.rs
+++ b/tests/store_members.rs
@@ -126,3 +126,44 @@
     fixture.fleet.heal();
     fixture.wait_until_e0_is_used(true);
 }
+
+/// Guards against watchers that ignore the changes of a store that was initialized anew, until its versions pass those of the
+/// former one. A member that is left of the former store runs on meanwhile, and its coordinator follows the new store too.
+#[test]
+fn watchers_follow_a_store_that_is_initialized_anew() {
+    const NOTES: u64 = 20;
+    let engines = StubEngines::start(2);
+    let addresses: Vec<(&str, SocketAddr)> =
+        engines.list.iter().map(|(id, address)| (id.as_str(), *address)).collect();
+    let mut fleet = start_with(3, 5, |at| {
+        daemon::config_with_directory(&addresses).replace("\"n1\"", &format!("\"c{at}\""))
+    });
+    for n in 1..=NOTES {
+        set(&mut fleet, &n.to_string(), "notes", &n.to_string());
+    }
+    set(&mut fleet, "100", "maintenance/e1", "of the former store");
+    let wait_until_unavailable = |fleet: &Fleet, engine: &str, at: usize| {
+        let line = format!("engine {engine} is left out");
+        until(&format!("c{at} leaves out {engine} alone"), || {
+            let is_logged = fleet.processes[at].output().iter().any(|text| text.contains(&line));
+            let statistics = statistics(fleet.addresses[at]["console"]);
+            (is_logged && statistics.contains("members_unavailable=1\n")).then_some(())
+        });
+    };
+    for at in 0..5 {
+        wait_until_unavailable(&fleet, "e1", at);
+    }
+    for at in 0..2 {
+        fleet.processes[at].kill();
+        fleet.processes[at].remove_data("store");
+    }
+    for at in 0..2 {
+        fleet.start_process(at, None);
+    }
+    assert_eq!(request(fleet.addresses[0]["store"], &["INIT"]).as_deref(), Some("+OK"));
+    add_member(&mut fleet, "c1");
+    set(&mut fleet, "1", "maintenance/e0", "of the new store");
+    for at in 0..5 {
+        wait_until_unavailable(&fleet, "e0", at);
+    }
+}
