--- a/src/listener/http/connection.rs
+++ b/src/listener/http/connection.rs
@@ -28,8 +28,8 @@
     Uploading(Box<Upload>),
     /// A request is open in the core.
     AwaitingAnswer(RequestId),
-    /// The next of several requests that were sent at once waits for its turn.
-    AwaitingTurn,
+    /// Scheduled to handle the next of several requests that were sent at once.
+    Scheduled,
     /// The next request waits until the client has read its earlier answers.
     AwaitingReader,
 }
@@ -65,7 +65,7 @@
         let client_waits = match &self.state {
             State::Idle | State::Receiving { .. } | State::AwaitingReader => false,
             State::Uploading(upload) => upload.is_client_waiting(),
-            State::AwaitingAnswer(_) | State::AwaitingTurn => true,
+            State::AwaitingAnswer(_) | State::Scheduled => true,
         };
         (!client_waits).then_some(self.deadline)
     }
@@ -80,8 +80,8 @@
         self.reject(now, status::REQUEST_TIMEOUT, shared)
     }
 
-    fn on_turn(&mut self, now: Time, shared: &mut Shared) -> Flow {
-        if !matches!(self.state, State::AwaitingTurn) {
+    fn on_scheduled(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        if !matches!(self.state, State::Scheduled) {
             return Flow::Open;
         }
         if self.has_unread_answers(shared) {
@@ -133,7 +133,7 @@
         match self.state {
             State::Idle | State::Receiving { .. } => self.next_request(now, shared),
             State::Uploading(_) => self.receive_body(now, shared),
-            State::AwaitingAnswer(_) | State::AwaitingTurn | State::AwaitingReader => Flow::Open,
+            State::AwaitingAnswer(_) | State::Scheduled | State::AwaitingReader => Flow::Open,
         }
     }
 
@@ -143,7 +143,7 @@
             self.deadline = now + shared.state.limits.clients.idle_timeout;
         }
         if matches!(self.state, State::AwaitingReader) && !self.has_unread_answers(shared) {
-            self.await_turn(now, shared);
+            self.schedule(now, shared);
         }
         Flow::Open
     }
@@ -154,7 +154,7 @@
             State::Idle | State::Receiving { .. } => false,
             State::Uploading(upload) => upload.is_client_waiting(),
             State::AwaitingAnswer(_) => !self.stream.input.is_empty(),
-            State::AwaitingTurn | State::AwaitingReader => true,
+            State::Scheduled | State::AwaitingReader => true,
         }
     }
 
@@ -176,12 +176,12 @@
         if !self.keep_alive {
             return self.finish(now, shared);
         }
-        self.await_turn_if_buffered(now, shared);
+        self.schedule_if_buffered(now, shared);
         Flow::Open
     }
 
-    /// Handles the HTTP request at the start of the input, if it is complete. Those behind it wait for the
-    /// connection's next turn.
+    /// Handles the HTTP request at the start of the input, if it is complete. Those behind it are
+    /// handled in later iterations of the event loop.
     fn next_request(&mut self, now: Time, shared: &mut Shared) -> Flow {
         let decoded = match codec::decode(&self.stream.input, &shared.state.limits) {
             Ok(decoded) => decoded,
@@ -196,7 +196,7 @@
                 self.consume_request(&request, length);
                 let flow = self.handle_request(now, &request, shared);
                 if flow == Flow::Open {
-                    self.await_turn_if_buffered(now, shared);
+                    self.schedule_if_buffered(now, shared);
                 }
                 flow
             }
@@ -215,16 +215,16 @@
         }
     }
 
-    /// Waits for the next turn if input is buffered behind the request that was just answered.
-    fn await_turn_if_buffered(&mut self, now: Time, shared: &mut Shared) {
+    /// Schedules the connection if input is buffered behind the request that was just answered.
+    fn schedule_if_buffered(&mut self, now: Time, shared: &mut Shared) {
         if self.is_ready_for_request() && !self.stream.input.is_empty() {
-            self.await_turn(now, shared);
+            self.schedule(now, shared);
         }
     }
 
-    fn await_turn(&mut self, now: Time, shared: &mut Shared) {
-        self.state = State::AwaitingTurn;
-        shared.state.request_turn(now, self.token);
+    fn schedule(&mut self, now: Time, shared: &mut Shared) {
+        self.state = State::Scheduled;
+        shared.state.schedule(now, self.token);
     }
 
     /// Whether the client has left so many bytes of its answers unread that its next request must wait.
--- a/src/listener/mysql/large/mod.rs
+++ b/src/listener/mysql/large/mod.rs
@@ -159,7 +159,7 @@
         shared.state.uploads.end();
         self.deadline = now + shared.state.limits.mysql.session_idle_timeout;
         let Destination::Request(incoming) = payload.destination else {
-            self.await_turn_if_buffered(now, shared);
+            self.schedule_if_buffered(now, shared);
             return Flow::Open;
         };
         let IncomingRequest { body, mut request, timeout, values } = incoming;
--- a/src/listener/mysql/large/storing.rs
+++ b/src/listener/mysql/large/storing.rs
@@ -110,7 +110,7 @@
         shared.state.report_rejected(class);
         let rejected = Answer::Rejected(shared.state.limits.bodies.retry_after);
         self.send(self.next_sequence, &encode_answer(rejected, false));
-        self.await_turn_if_buffered(now, shared);
+        self.schedule_if_buffered(now, shared);
         Flow::Open
     }
 
--- a/src/listener/mysql/session.rs
+++ b/src/listener/mysql/session.rs
@@ -32,8 +32,8 @@
     Storing(PendingRequest),
     /// A request is open in the core.
     Running(RequestId),
-    /// The next of several commands that were sent at once waits for its turn.
-    AwaitingTurn,
+    /// Scheduled to handle the next of several commands that were sent at once.
+    Scheduled,
     /// The next command waits until the client has read the earlier answers.
     AwaitingReader,
 }
@@ -81,7 +81,7 @@
 
     fn deadline(&self) -> Option<Time> {
         let client_waits = match &self.state {
-            SessionState::Storing(_) | SessionState::Running(_) | SessionState::AwaitingTurn => true,
+            SessionState::Storing(_) | SessionState::Running(_) | SessionState::Scheduled => true,
             SessionState::Receiving(payload) => payload.store_full,
             SessionState::AwaitingLogin
             | SessionState::AwaitingAuthSwitch
@@ -95,8 +95,8 @@
         Flow::Close
     }
 
-    fn on_turn(&mut self, now: Time, shared: &mut Shared) -> Flow {
-        if !matches!(self.state, SessionState::AwaitingTurn) {
+    fn on_scheduled(&mut self, now: Time, shared: &mut Shared) -> Flow {
+        if !matches!(self.state, SessionState::Scheduled) {
             return Flow::Open;
         }
         if self.has_unread_answers(shared) {
@@ -150,7 +150,7 @@
             }
             SessionState::Storing(_)
             | SessionState::Running(_)
-            | SessionState::AwaitingTurn
+            | SessionState::Scheduled
             | SessionState::AwaitingReader => Flow::Open,
         }
     }
@@ -160,7 +160,7 @@
         if matches!(self.state, SessionState::AwaitingReader) {
             self.deadline = now + shared.state.limits.mysql.write_timeout;
             if !self.has_unread_answers(shared) {
-                self.await_turn(now, shared);
+                self.schedule(now, shared);
             }
         }
         Flow::Open
@@ -172,7 +172,7 @@
             SessionState::AwaitingLogin | SessionState::AwaitingAuthSwitch | SessionState::Idle => false,
             SessionState::Receiving(payload) => payload.store_full,
             SessionState::Storing(_) | SessionState::Running(_) => !self.stream.input.is_empty(),
-            SessionState::AwaitingTurn | SessionState::AwaitingReader => true,
+            SessionState::Scheduled | SessionState::AwaitingReader => true,
         }
     }
 
@@ -197,16 +197,16 @@
         self.stream.queued() > shared.state.limits.clients.max_unread_answer_bytes
     }
 
-    /// Lets the session handle its next command in its next turn, if input is buffered.
-    pub(super) fn await_turn_if_buffered(&mut self, now: Time, shared: &mut Shared) {
+    /// Schedules the session if input is buffered behind the command that was just answered.
+    pub(super) fn schedule_if_buffered(&mut self, now: Time, shared: &mut Shared) {
         if matches!(self.state, SessionState::Idle) && !self.stream.input.is_empty() {
-            self.await_turn(now, shared);
+            self.schedule(now, shared);
         }
     }
 
-    fn await_turn(&mut self, now: Time, shared: &mut Shared) {
-        self.state = SessionState::AwaitingTurn;
-        shared.state.request_turn(now, self.token);
+    fn schedule(&mut self, now: Time, shared: &mut Shared) {
+        self.state = SessionState::Scheduled;
+        shared.state.schedule(now, self.token);
     }
 
     /// Queues payloads as packets, numbered from `sequence`.
@@ -226,7 +226,7 @@
         self.deadline = now + shared.state.limits.mysql.session_idle_timeout;
         let is_late = now + shared.state.limits.results.deadline_margin >= self.request_deadline;
         self.send(self.next_sequence, &encode_answer(answer, is_late));
-        self.await_turn_if_buffered(now, shared);
+        self.schedule_if_buffered(now, shared);
         Flow::Open
     }
 
@@ -245,8 +245,8 @@
         shared.state.submit(self.token, request);
     }
 
-    /// Handles the packet at the start of the input, if it is complete. Commands behind it wait for the
-    /// session's next turn.
+    /// Handles the packet at the start of the input, if it is complete. Commands behind it are
+    /// handled in later iterations of the event loop.
     fn next_packet(&mut self, now: Time, shared: &mut Shared) -> Flow {
         self.next_sequence = FIRST_ANSWER_SEQUENCE;
         if self.is_authenticated() {
@@ -274,7 +274,7 @@
             return self.next_packet(now, shared);
         }
         if flow == Flow::Open {
-            self.await_turn_if_buffered(now, shared);
+            self.schedule_if_buffered(now, shared);
         }
         flow
     }
--- a/src/listener/server/client.rs
+++ b/src/listener/server/client.rs
@@ -25,8 +25,8 @@
     /// Handles an expired deadline: closes the connection, or answers with an error.
     fn on_deadline(&mut self, now: Time, shared: &mut Self::Shared) -> Flow;
 
-    /// Handles the next request of the buffered input, after [`ListenerState::request_turn`].
-    fn on_turn(&mut self, _: Time, _: &mut Self::Shared) -> Flow {
+    /// Handles the next request of the buffered input, after [`ListenerState::schedule`].
+    fn on_scheduled(&mut self, _: Time, _: &mut Self::Shared) -> Flow {
         Flow::Open
     }
 
--- a/src/listener/server/mod.rs
+++ b/src/listener/server/mod.rs
@@ -2,13 +2,13 @@
 
 mod accept;
 mod client;
+mod run_queue;
 mod state;
-mod turns;
 mod uploads;
 
 pub use client::{ClientConnection, EvictionRank};
+pub use run_queue::RunQueue;
 pub use state::ListenerState;
-pub use turns::Turns;
 pub use uploads::{UploadConnection, Uploads};
 
 use crate::core::ListenerEvent;
@@ -58,10 +58,10 @@
         self.state().bad_requests
     }
 
-    /// Whether all answers are written, no buffered request waits for its turn and no body is being received.
+    /// Whether all answers are written, no connection is scheduled and no body is being received.
     pub fn is_drained(&mut self) -> bool {
         let state = self.state();
-        state.turns.is_empty() && state.uploads.is_idle() && self.connections.is_flushed()
+        state.run_queue.is_empty() && state.uploads.is_idle() && self.connections.is_flushed()
     }
 
     /// Stops accepting, since another process has the listening socket as well. Each connection is closed
@@ -170,7 +170,7 @@
 impl<C: ClientConnection> EventHandler for Server<C> {
     fn next_deadline(&mut self) -> Option<Time> {
         let state = self.state();
-        let deadlines = [state.timers.next_deadline(), state.turns.next_deadline()];
+        let deadlines = [state.timers.next_deadline(), state.run_queue.next_deadline()];
         deadlines.into_iter().flatten().reduce(Time::min)
     }
 
@@ -184,11 +184,11 @@
         self.resume_accepting(now);
     }
 
-    /// Handles one request of each connection that waits for its turn, and checks the connections whose
+    /// Handles one buffered request of each scheduled connection, and checks the connections whose
     /// timers have expired.
     fn on_timer(&mut self, now: Time) {
-        for token in self.state().turns.take() {
-            self.reply(now, token, |connection, shared| connection.on_turn(now, shared));
+        for token in self.state().run_queue.take() {
+            self.reply(now, token, |connection, shared| connection.on_scheduled(now, shared));
         }
         while let Some(token) = self.state().timers.pop_due(now) {
             self.check_deadline(now, token);
--- a/src/listener/server/state.rs
+++ b/src/listener/server/state.rs
@@ -1,6 +1,6 @@
 //! State shared by the connections of one listener, independent of the protocol.
 
-use super::{Turns, Uploads};
+use super::{RunQueue, Uploads};
 use crate::body_store;
 use crate::core::{ListenerEvent, Request};
 use crate::limits::Limits;
@@ -19,8 +19,8 @@
     pub(super) events: VecDeque<ListenerEvent>,
     /// The connection of each open request.
     pub(super) open_requests: HashMap<RequestId, Token>,
-    /// Connections with buffered requests that wait for their turn.
-    pub(super) turns: Turns,
+    /// Connections that are scheduled to handle a buffered request.
+    pub(super) run_queue: RunQueue,
     /// When the deadlines of connections are to be checked.
     pub(super) timers: TimerQueue<Token>,
     /// Whether each connection is closed after its next answer, because the process is about to end.
@@ -41,7 +41,7 @@
             route,
             events: VecDeque::new(),
             open_requests: HashMap::new(),
-            turns: Turns::default(),
+            run_queue: RunQueue::default(),
             timers: TimerQueue::default(),
             shutting_down: false,
             handed_over: false,
@@ -79,9 +79,9 @@
     }
 
     /// Lets a connection continue with its buffered requests in the next iteration of the event loop, by
-    /// [`ClientConnection::on_turn`](super::ClientConnection::on_turn).
-    pub fn request_turn(&mut self, now: Time, connection: Token) {
-        self.turns.request(now, connection);
+    /// [`ClientConnection::on_scheduled`](super::ClientConnection::on_scheduled).
+    pub fn schedule(&mut self, now: Time, connection: Token) {
+        self.run_queue.push(now, connection);
     }
 
     /// Gives a connection that is being closed `linger_timeout` for its client to read the answer. Returns
--- a/src/net/open_connection.rs
+++ b/src/net/open_connection.rs
@@ -13,7 +13,7 @@
     pub connection: C,
     /// The events that the poller reports for it.
     pub interest: Interest,
-    /// Memory of its buffers when it was last measured (bytes).
+    /// Memory of its buffers as of the last update (bytes).
     pub buffered_bytes: usize,
     /// The connection closes once its output has been written and the peer has closed its side.
     pub is_finishing: bool,
--- a/src/net/slab.rs
+++ b/src/net/slab.rs
@@ -127,11 +127,11 @@
         {
             return self.close(now, token, shared);
         }
-        self.measure(token);
+        self.update_buffered_bytes(token);
     }
 
-    /// Measures the memory of a connection's buffers.
-    fn measure(&mut self, token: Token) {
+    /// Updates the memory of a connection's buffers.
+    fn update_buffered_bytes(&mut self, token: Token) {
         let Some(open) = self.open(token) else { return };
         let stream = open.connection.channel();
         stream.release_input_memory();
