A MySQL session that ends with an error drops its input at once

Cause (by reading): a session that is closed for memory kept its input until the client's next bytes, so the listener would have chosen it again, without end. The buffers of sessions reach their limit by answers first, so no test forces it. Change: Session::end drops the input, as HttpConnection::finish does.

--- a/src/listener/mysql/session.rs
+++ b/src/listener/mysql/session.rs
@@ -310,9 +310,10 @@
         }
     }
 
-    /// Sends an error and closes the session.
+    /// Sends an error and closes the session. Input that is left is dropped.
     pub(super) fn end(&mut self, now: Time, sequence: u8, error: &MysqlError, shared: &mut Shared) -> Flow {
         shared.state.bad_requests += 1;
+        self.stream.input = Vec::new();
         self.send(sequence, &[error.encode()]);
         self.deadline = shared.state.begin_linger(now, self.token);
         Flow::Finish
