Lack of memory closes no connection whose requests have been read

Cause: the limit on buffers counted and chose among all connections, also those with requests that had been read and wait to be handled.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -103,6 +103,10 @@
         &mut shared.state
     }
 
+    fn refusable_bytes(&self) -> Option<usize> {
+        Some(self.stream.buffered_bytes())
+    }
+
     fn max_buffered_bytes(limits: &Limits) -> usize {
         limits.admin.max_buffered_bytes
     }
--- a/src/listener/http/connection.rs
+++ b/src/listener/http/connection.rs
@@ -92,6 +92,15 @@
         self.next_request(now, shared)
     }
 
+    fn refusable_bytes(&self) -> Option<usize> {
+        let is_refusable = match self.state {
+            State::Receiving { .. } | State::Uploading(_) | State::AwaitingReader => true,
+            State::Idle => self.stream.queued() > 0,
+            State::AwaitingAnswer(_) | State::Scheduled => false,
+        };
+        is_refusable.then(|| self.stream.buffered_bytes())
+    }
+
     fn on_memory_pressure(&mut self, now: Time, shared: &mut Shared) -> Flow {
         if matches!(self.state, State::Receiving { .. } | State::Uploading(_)) {
             return self.reject(now, status::SERVICE_UNAVAILABLE, shared);
--- a/src/listener/mysql/session.rs
+++ b/src/listener/mysql/session.rs
@@ -108,6 +108,18 @@
         self.next_packet(now, shared)
     }
 
+    fn refusable_bytes(&self) -> Option<usize> {
+        let is_refusable = match self.state {
+            SessionState::AwaitingLogin
+            | SessionState::AwaitingAuthSwitch
+            | SessionState::Receiving(_)
+            | SessionState::AwaitingReader => true,
+            SessionState::Idle => !self.stream.input.is_empty() || self.stream.queued() > 0,
+            SessionState::Storing(_) | SessionState::Running(_) | SessionState::Scheduled => false,
+        };
+        is_refusable.then(|| self.stream.buffered_bytes())
+    }
+
     fn on_memory_pressure(&mut self, now: Time, shared: &mut Shared) -> Flow {
         if matches!(self.state, SessionState::Idle) && !self.stream.input.is_empty() {
             return self.end(now, FIRST_ANSWER_SEQUENCE, &MysqlError::out_of_memory(), shared);
--- a/src/listener/server/client.rs
+++ b/src/listener/server/client.rs
@@ -30,8 +30,12 @@
         Flow::Open
     }
 
-    /// The listener's connections occupy too much memory, and this one the most of all: closes it, after an error if
-    /// its request is incomplete.
+    /// Memory of the buffers that is freed if the connection is closed for lack of memory (bytes); `None` if that would
+    /// lose a request that has been read. A client that does not read its answers has no claim to further ones.
+    fn refusable_bytes(&self) -> Option<usize>;
+
+    /// The listener's connections occupy too much memory, and this one the most of those that may be closed: closes it,
+    /// after an error if its request is incomplete.
     fn on_memory_pressure(&mut self, _: Time, _: &mut Self::Shared) -> Flow {
         Flow::Close
     }
--- a/src/listener/server/mod.rs
+++ b/src/listener/server/mod.rs
@@ -15,6 +15,7 @@
 use crate::failpoints;
 use crate::net::{Acceptor, ConnectionSlab, EventHandler, Flow, Poller, Ready, Time, Token};
 use dahliaspoke::policy::RequestId;
+use std::cmp::Reverse;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -110,12 +111,17 @@
         self.limit_memory(now);
     }
 
-    /// Closes the connections that occupy the most memory until all together stay within the limit: those whose
-    /// clients send a large request slowly, or do not read their answers.
+    /// Closes the connections that occupy the most memory until those that may be closed stay within the limit
+    /// together: clients that send a large request slowly, or do not read their answers. Each other connection has at
+    /// most what one read returned.
     fn limit_memory(&mut self, now: Time) {
         let max_bytes = C::max_buffered_bytes(&self.state().limits);
-        while self.connections.buffered_bytes() > max_bytes {
-            let Some(token) = self.connections.largest() else { return };
+        if self.connections.buffered_bytes() <= max_bytes {
+            return;
+        }
+        while self.connections.iter().filter_map(C::refusable_bytes).sum::<usize>() > max_bytes {
+            let largest = |client: &C| client.refusable_bytes().map(Reverse);
+            let Some(token) = self.connections.min_by_rank(largest) else { return };
             let Some(client) = self.connections.get(token) else { return };
             let flow = client.on_memory_pressure(now, &mut self.shared);
             self.connections.settle(now, token, flow, &mut self.shared);
--- a/src/net/slab.rs
+++ b/src/net/slab.rs
@@ -92,17 +92,6 @@
         self.buffered_bytes
     }
 
-    /// The connection whose buffers occupy the most memory.
-    pub fn largest(&self) -> Option<Token> {
-        let open = self
-            .slots
-            .iter()
-            .enumerate()
-            .filter_map(|(index, slot)| Some((index, slot, slot.open.as_ref()?)));
-        let (index, slot, _) = open.max_by_key(|(_, _, open)| open.buffered_bytes)?;
-        Some(Token::new(self.owner, index as u32, slot.generation))
-    }
-
     /// Whether all queued output has been written.
     pub fn is_flushed(&mut self) -> bool {
         let mut open = self.slots.iter_mut().filter_map(|slot| slot.open.as_mut());
--- a/tests/slow_clients.rs
+++ b/tests/slow_clients.rs
@@ -152,6 +152,33 @@
     machine.assert_within_limits(&[&old, &new]);
 }
 
+/// Guards against a connection that is closed for lack of memory although its client has only sent its requests at once:
+/// what was read is answered.
+#[test]
+fn requests_sent_at_once_by_hundreds_of_clients_are_answered() {
+    const REQUESTS: usize = 120;
+    let machine = Machine { memory_mb: 32, sockets: 1024 };
+    let engine = RecordingEngine::start("e1");
+    let daemon = Daemon::start(&machine.config(&engine), &[], None);
+    let mut clients: Vec<Client> = (0..CLIENTS - 30).map(|_| Client::new(&daemon)).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let request = |n: usize| {
+            let id = number * REQUESTS + n;
+            let head =
+                format!("POST /invoke/lookup HTTP/1.1\r\nX-Job-Id: {id:016x}\r\nX-Allow-Ms: 60000\r\n");
+            head + "Content-Length: 8\r\n\r\nSELECT 1"
+        };
+        client.send((0..REQUESTS).map(request).collect::<String>().as_bytes()).expect("sent");
+    }
+    for client in &mut clients {
+        for _ in 0..REQUESTS {
+            let (status, keep_alive) = client.answer();
+            assert!([200, 503].contains(&status) && keep_alive, "{status}");
+        }
+    }
+    machine.assert_within_limits(&[&daemon]);
+}
+
 fn start_with_mysql(machine: Machine, engine: &RecordingEngine, mysql: &RowsEngine) -> Daemon {
     Daemon::start(&machine.config(engine), &[("mysql.toml", mysql_toml("e1", mysql.address))], None)
 }
